--- /dev/null
+++ b/include/balsamreel/Load/Profile.h
@@ -0,0 +1,43 @@
+// What load is made of: kinds of calls, their shares, and phases of the arrival rate.
+#pragma once
+
+#include "balsamreel/Support/Clock.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsamreel::Load {
+
+/// One kind of call.
+struct CallKind {
+    std::string name;
+    std::string method = "GET";
+    std::string path;
+    double share = 1; ///< of all calls, relative to the other kinds
+    Support::Duration work{}; ///< mean work time at the server
+    bool isLong = false;
+    bool isAtMostOnce = false;
+    std::uint64_t answerBytes = 64;
+    std::uint64_t requestBytes = 0;
+};
+
+/// A stretch of time with one mean arrival rate.
+struct Phase {
+    double callsPerSecond = 0;
+    double seconds = 0;
+};
+
+struct Profile {
+    std::string name;
+    std::vector<CallKind> kinds;
+};
+
+/// The profiles that come with the tool: "tengri", "association", "steady".
+std::optional<Profile> findProfile(std::string_view name);
+
+/// Reads "RATE:SECONDS,RATE:SECONDS,..."; nothing if malformed.
+std::optional<std::vector<Phase>> parsePhases(std::string_view text);
+
+} // namespace balsamreel::Load
--- /dev/null
+++ b/include/balsamreel/Node/Entry.h
@@ -0,0 +1,38 @@
+// The entry for callers: finds the route, picks a server, sends the attempt to its guard, relays the answer.
+#pragma once
+
+#include "balsamreel/Node/Context.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Node {
+
+class Entry {
+public:
+    explicit Entry(Context& context)
+        : context_(context)
+    {
+    }
+
+    void handle(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
+
+private:
+    struct Call; ///< one caller's request on its way through the entry
+    enum class Step : std::uint8_t { Answered,
+        TryAnother };
+
+    bool readCall(Call&);
+    Step attempt(Call&, const Balance::Choice&);
+    Step onError(Call&, std::error_code, const RequestBody&);
+    Step onRefusal(Call&, Exchange&, const Poco::Net::HTTPResponse&, const RequestBody&);
+    void fillRequest(const Call&, const Balance::Choice&, Poco::Net::HTTPRequest&);
+    void giveUp(Call&, const std::string& reason);
+    void sendUnknown(Call&, const std::string& reason);
+
+    Context& context_;
+};
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/include/balsamreel/Node/Errors.h
@@ -0,0 +1,22 @@
+// Errors of the node layer: how an exchange with another process ended.
+#pragma once
+
+#include <system_error>
+
+namespace balsamreel::Node {
+
+enum class ExchangeError { Unreachable = 1, ///< no connection; nothing was sent
+    NoAnswer, ///< the request was sent, no answer came
+    TimedOut, ///< the deadline passed without an answer
+    CallerLeft, ///< the caller closed its connection while waiting
+    AnswerCut, ///< the answer began but did not end
+    RequestCut ///< the caller's request did not end
+};
+
+std::error_code make_error_code(ExchangeError);
+
+} // namespace balsamreel::Node
+
+template <>
+struct std::is_error_code_enum<balsamreel::Node::ExchangeError> : std::true_type {
+};
--- /dev/null
+++ b/include/balsamreel/Node/Gossip.h
@@ -0,0 +1,54 @@
+// Runs membership over UDP and feeds what it learns to the balancer.
+#pragma once
+
+#include "balsamreel/Membership/Swim.h"
+#include "balsamreel/Node/Context.h"
+#include "balsamreel/Node/Guard.h"
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace balsamreel::Node {
+
+class Gossip {
+public:
+    Gossip(Context&, Guard&, std::uint64_t seed);
+    ~Gossip();
+    Gossip(const Gossip&) = delete;
+    Gossip& operator=(const Gossip&) = delete;
+
+    void start();
+
+    /// Tells the others that this node leaves.
+    void leave();
+
+    std::vector<Wire::MemberRecord> members() const; ///< with this node itself
+    std::optional<Wire::MemberRecord> newerPeer() const;
+
+    /// This node is among the few of its failure domain that watch the store.
+    bool isWatcher() const;
+
+private:
+    void run();
+    void receiveAll(Support::Duration wait);
+    void tick(Support::Instant now);
+    void send(const std::vector<Membership::Outgoing>&);
+    void publish(Support::Instant now);
+    void recordChanges();
+
+    Context& context_;
+    Guard& guard_;
+    mutable std::mutex mutex_;
+    Membership::Swim swim_;
+    std::uint64_t publishedRevision_ = 0;
+    Poco::Net::DatagramSocket socket_;
+    std::atomic<bool> isEnding_{false};
+    std::thread thread_;
+};
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/include/balsamreel/Node/Guard.h
@@ -0,0 +1,76 @@
+// The guard in front of the local servers: admits, runs, remembers and answers attempts.
+#pragma once
+
+#include "balsamreel/Admission/Gate.h"
+#include "balsamreel/Node/Context.h"
+#include "balsamreel/Once/AttemptTable.h"
+#include "balsamreel/Wire/Messages.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Node {
+
+/// What a server says of itself over the admin address.
+struct Announcement {
+    Wire::ServerRecord record;
+    Support::Duration lease{}; ///< the server is taken for gone if it does not announce itself for so long
+};
+
+/// Serves the calls that entries send to this node's servers.
+class Guard {
+public:
+    explicit Guard(Context& context)
+        : context_(context)
+    {
+    }
+
+    void announce(Support::Instant now, const Announcement&);
+
+    /// The servers as other nodes shall know them.
+    std::vector<Wire::ServerRecord> records() const;
+
+    /// Handles one attempt.
+    void handle(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
+
+    /// Refuses all new work from now on.
+    void drainAll();
+
+    void tick(Support::Instant now);
+
+private:
+    struct Waiter {
+        std::condition_variable resolved;
+        std::optional<Admission::Decision> decision;
+    };
+    struct LocalServer {
+        Wire::ServerRecord record;
+        Support::Instant leaseEnd;
+        Admission::Gate gate;
+        std::map<std::uint64_t, Waiter*> waiters;
+    };
+    struct Call; ///< one attempt on its way through the guard
+
+    std::optional<Call> readCall(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
+    Admission::Decision admit(Call&, Poco::Net::HTTPServerRequest&);
+    bool dispatch(const Call&);
+    void run(Call&, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
+    void finish(Call&, bool hasSucceeded);
+    void refuse(const Call&, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&, const Admission::Refused&);
+    void setStamp(const Call&, Poco::Net::HTTPServerResponse&);
+    static void wake(LocalServer&, const std::vector<Admission::Resolution>&);
+    Admission::GateOptions gateOptions(const Wire::ServerRecord&) const;
+
+    Context& context_;
+    mutable std::mutex mutex_;
+    std::map<Support::Endpoint, LocalServer> servers_;
+    Once::AttemptTable attempts_;
+    std::uint64_t nextTicket_ = 1;
+    bool isDraining_ = false;
+};
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/include/balsamreel/Operator/Commands.h
@@ -0,0 +1,42 @@
+// The commands of balsamctl.
+#pragma once
+
+#include "balsamreel/Support/Endpoint.h"
+#include "balsamreel/Support/NameTable.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Operator {
+
+/// Exit statuses of balsamctl.
+enum class ExitStatus : std::uint8_t { Done = 0,
+    Failed = 1, ///< the store or the nodes could not be reached
+    Usage = 2,
+    Invalid = 3, ///< the configuration has errors
+    Conflict = 4 ///< someone else changed the file first
+};
+
+struct CommandContext {
+    std::optional<Support::Endpoint> store;
+    std::vector<Support::Endpoint> nodes; ///< admin addresses
+    std::string deployment;
+    bool isJson = false;
+    std::vector<std::string> arguments; ///< after the command's name
+};
+
+struct Command {
+    std::string_view name;
+    std::string_view arguments;
+    std::string_view help;
+    ExitStatus (*run)(const CommandContext&);
+};
+
+const std::vector<Command>& commands();
+
+/// Runs the command of that name; Usage if there is none.
+ExitStatus runCommand(const std::string& name, const CommandContext&);
+
+} // namespace balsamreel::Operator
--- /dev/null
+++ b/include/balsamreel/Wire/Headers.h
@@ -0,0 +1,65 @@
+// Names and forms of the headers that nodes put on calls and answers.
+#pragma once
+
+#include "balsamreel/Support/Clock.h"
+#include "balsamreel/Support/NameTable.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace balsamreel::Wire {
+
+constexpr const char* attemptHeader = "X-Balsam-Attempt";
+constexpr const char* callHeader = "X-Balsam-Call"; ///< one id for a call and all calls below it
+constexpr const char* serverHeader = "X-Balsam-Server"; ///< address of the server meant, or that answered
+constexpr const char* remainingHeader = "X-Balsam-Remaining-Us"; ///< time left until the deadline
+constexpr const char* depthHeader = "X-Balsam-Depth";
+constexpr const char* priorityHeader = "X-Balsam-Priority";
+constexpr const char* callerHeader = "X-Balsam-Caller";
+constexpr const char* routeHeader = "X-Balsam-Route";
+constexpr const char* loadHeader = "X-Balsam-Load";
+constexpr const char* outcomeHeader = "X-Balsam-Outcome";
+constexpr const char* reasonHeader = "X-Balsam-Reason";
+constexpr const char* retriesLeftHeader = "X-Balsam-Retries-Left";
+constexpr const char* guardHeader = "X-Balsam-Guard"; ///< incarnation of the guard meant; another one refuses
+constexpr const char* holdBodyHeader = "X-Balsam-Hold-Body"; ///< the body follows after "100 Continue"
+constexpr const char* atMostOnceHeader = "X-Balsam-At-Most-Once";
+constexpr const char* workClassHeader = "X-Balsam-Class";
+constexpr const char* idempotencyKeyHeader = "Idempotency-Key";
+
+/// What an answer says about the work itself.
+enum class Outcome : std::uint8_t { Ran, ///< the server's own answer
+    NotRun, ///< nothing ran; safe to repeat
+    Unknown, ///< may have run; not repeated for at-most-once work
+    InProgress ///< an earlier call with the same key still runs
+};
+
+constexpr Support::NameTable<Outcome, 4> outcomeNames{{{Outcome::Ran, "ran"}, {Outcome::NotRun, "not-run"}, {Outcome::Unknown, "unknown"}, {Outcome::InProgress, "in-progress"}}};
+
+/// Names one attempt of a call, for as long as any node may remember it.
+struct AttemptId {
+    std::uint64_t incarnation = 0; ///< random per start of the entry's process
+    std::uint64_t counter = 0;
+
+    auto operator<=>(const AttemptId&) const = default;
+    std::string text() const;
+};
+
+std::optional<AttemptId> parseAttemptId(std::string_view);
+
+/// A guard's load at the moment it sent an answer.
+struct LoadStamp {
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t limit = 0; ///< calls the guard lets run at once
+    std::uint32_t waitMicros = 0; ///< what a new short call would wait
+
+    bool operator==(const LoadStamp&) const = default;
+    std::string text() const;
+};
+
+std::optional<LoadStamp> parseLoadStamp(std::string_view);
+
+} // namespace balsamreel::Wire
--- /dev/null
+++ b/lib/Config/Files.cpp
@@ -0,0 +1,243 @@
+#include "balsamreel/Config/Files.h"
+
+#include "Schema.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace balsamreel::Config {
+
+namespace {
+
+constexpr const char* serviceTable = "service";
+constexpr const char* routeTable = "route";
+
+Diagnostic diagnosticAt(const std::string& file, const toml::source_region& source, std::string key, std::string message)
+{
+    return {file, source.begin.line, source.begin.column, std::move(key), std::move(message)};
+}
+
+// Merges tables key by key, so that a later file may change one key of an entity.
+void mergeTable(toml::table& target, const toml::table& source)
+{
+    for (const auto& [key, node] : source) {
+        auto* existing = target.get(key.str());
+        if (existing && existing->is_table() && node.is_table())
+            mergeTable(*existing->as_table(), *node.as_table());
+        else
+            target.insert_or_assign(key.str(), node);
+    }
+}
+
+template <typename Entity>
+std::vector<std::string> namesOf(std::span<const KeyRow<Entity>> rows)
+{
+    std::vector<std::string> names;
+    for (const auto& row : rows)
+        names.emplace_back(row.name);
+    return names;
+}
+
+std::string unknownKeyMessage(std::string_view key, const std::vector<std::string>& names)
+{
+    auto nearest = nearestName(key, names);
+    return nearest.empty() ? std::string("unknown key") : fmt::format("unknown key; did you mean \"{}\"?", nearest);
+}
+
+/// Checks merged or single tables and fills the configuration.
+class Checker {
+public:
+    Checker(std::string file, MergeResult& result)
+        : file_(std::move(file))
+        , result_(result)
+    {
+    }
+
+    void checkRoot(const toml::table& root)
+    {
+        for (const auto& [key, node] : root) {
+            if (key.str() == serviceTable)
+                checkEntities<Service>(serviceTable, node, serviceKeys(), result_.configuration.services);
+            else if (key.str() == routeTable)
+                checkEntities<Route>(routeTable, node, routeKeys(), result_.configuration.routes);
+            else
+                report(node, std::string(key.str()), unknownKeyMessage(key.str(), {serviceTable, routeTable}));
+        }
+    }
+
+private:
+    void report(const toml::node& node, std::string key, std::string message)
+    {
+        result_.diagnostics.push_back(diagnosticAt(file_, node.source(), std::move(key), std::move(message)));
+    }
+
+    template <typename Entity>
+    void checkEntities(const char* tableName, const toml::node& node, std::span<const KeyRow<Entity>> rows, std::map<std::string, Entity>& entities)
+    {
+        if (!node.is_table())
+            return report(node, tableName, "must be a table");
+        for (const auto& [name, entityNode] : *node.as_table()) {
+            auto key = fmt::format("{}.{}", tableName, name.str());
+            if (!entityNode.is_table()) {
+                report(entityNode, key, "must be a table");
+                continue;
+            }
+            auto& entity = entities[std::string(name.str())];
+            entity.name = name.str();
+            checkKeys(key, *entityNode.as_table(), rows, entity);
+        }
+    }
+
+    template <typename Entity>
+    void checkKeys(const std::string& prefix, const toml::table& table, std::span<const KeyRow<Entity>> rows, Entity& entity)
+    {
+        for (const auto& [key, node] : table) {
+            auto fullKey = fmt::format("{}.{}", prefix, key.str());
+            auto row = std::ranges::find(rows, key.str(), &KeyRow<Entity>::name);
+            if (row == rows.end()) {
+                report(node, fullKey, unknownKeyMessage(key.str(), namesOf(rows)));
+                continue;
+            }
+            if (auto error = row->read(node, entity); !error.empty())
+                report(node, fullKey, error);
+        }
+    }
+
+    std::string file_;
+    MergeResult& result_;
+};
+
+// Where an entity was last given, for errors that only the merged whole shows.
+struct Origin {
+    std::string file;
+    toml::source_region source;
+};
+using Origins = std::map<std::string, Origin>;
+
+void noteOrigins(const std::string& file, const toml::table& root, Origins& origins)
+{
+    const auto* routes = root[routeTable].as_table();
+    if (!routes)
+        return;
+    for (const auto& [name, node] : *routes)
+        origins[std::string(name.str())] = {file, node.source()};
+}
+
+void checkRoute(const Route& route, const Origin& origin, MergeResult& result)
+{
+    auto report = [&](const char* key, std::string message) {
+        result.diagnostics.push_back(diagnosticAt(origin.file, origin.source, fmt::format("route.{}.{}", route.name, key), std::move(message)));
+    };
+    if (route.service.empty())
+        report("service", "must be set");
+    else if (!result.configuration.services.contains(route.service))
+        report("service", fmt::format("no service is called \"{}\"", route.service));
+    if (route.path.empty())
+        report("path", "must be set");
+}
+
+bool overlap(const Route& first, const Route& second)
+{
+    if (first.path != second.path)
+        return false;
+    if (first.methods.empty() || second.methods.empty())
+        return first.methods.empty() == second.methods.empty();
+    return std::ranges::any_of(first.methods, [&](const auto& method) { return std::ranges::find(second.methods, method) != second.methods.end(); });
+}
+
+void checkOverlaps(const Origins& origins, MergeResult& result)
+{
+    const auto& routes = result.configuration.routes;
+    for (auto first = routes.begin(); first != routes.end(); ++first) {
+        for (auto second = std::next(first); second != routes.end(); ++second) {
+            if (first->second.path.empty() || !overlap(first->second, second->second))
+                continue;
+            const auto& origin = origins.at(second->first);
+            result.diagnostics.push_back(diagnosticAt(origin.file, origin.source, fmt::format("route.{}.path", second->first), fmt::format("route \"{}\" already takes this path and method", first->first)));
+        }
+    }
+}
+
+std::string formatTable(const toml::table& table)
+{
+    std::ostringstream stream;
+    stream << table << '\n';
+    return std::move(stream).str();
+}
+
+} // namespace
+
+std::string Diagnostic::text() const
+{
+    return fmt::format("{}:{}:{}: {}{}{}", file, line, column, key, key.empty() ? "" : ": ", message);
+}
+
+MergeResult mergeFiles(std::vector<File> files)
+{
+    std::ranges::sort(files, {}, &File::name);
+    MergeResult result;
+    toml::table merged;
+    Origins origins;
+    for (const auto& file : files) {
+        try {
+            auto table = toml::parse(file.text);
+            // Each file is read in name order over the entities of those before it, which both
+            // checks it where its lines are known and leaves the last value of each key.
+            Checker(file.name, result).checkRoot(table);
+            noteOrigins(file.name, table, origins);
+            mergeTable(merged, table);
+        } catch (const toml::parse_error& error) {
+            result.diagnostics.push_back(diagnosticAt(file.name, error.source(), {}, std::string(error.description())));
+        }
+    }
+    for (const auto& [name, route] : result.configuration.routes)
+        checkRoute(route, origins.at(name), result);
+    checkOverlaps(origins, result);
+    result.mergedText = formatTable(merged);
+    return result;
+}
+
+std::string encodeHead(const Head& head)
+{
+    toml::table versions;
+    for (const auto& [name, version] : head.fileVersions)
+        versions.insert(name, static_cast<std::int64_t>(version));
+    toml::table root;
+    root.insert("generation", static_cast<std::int64_t>(head.generation));
+    root.insert("files", std::move(versions));
+    root.insert("merged", head.mergedText);
+    return formatTable(root);
+}
+
+std::optional<Head> decodeHead(const std::string& text)
+{
+    try {
+        auto root = toml::parse(text);
+        auto generation = root["generation"].value_exact<std::int64_t>();
+        auto merged = root["merged"].value_exact<std::string>();
+        const auto* versions = root["files"].as_table();
+        if (!generation || *generation <= 0 || !merged || !versions)
+            return std::nullopt;
+        Head head;
+        head.generation = static_cast<std::uint64_t>(*generation);
+        head.mergedText = *merged;
+        for (const auto& [name, version] : *versions)
+            head.fileVersions[std::string(name.str())] = static_cast<std::uint64_t>(version.value_or<std::int64_t>(0));
+        return head;
+    } catch (const toml::parse_error&) {
+        return std::nullopt;
+    }
+}
+
+std::string filesPrefix(const std::string& deployment)
+{
+    return deployment + "/files/";
+}
+
+std::string headKey(const std::string& deployment)
+{
+    return deployment + "/head";
+}
+
+} // namespace balsamreel::Config
--- /dev/null
+++ b/lib/Config/Model.cpp
@@ -0,0 +1,21 @@
+#include "balsamreel/Config/Model.h"
+
+#include <algorithm>
+
+namespace balsamreel::Config {
+
+const Route* findRoute(const Configuration& configuration, const std::string& method, const std::string& path)
+{
+    const Route* best = nullptr;
+    for (const auto& [name, route] : configuration.routes) {
+        if (!path.starts_with(route.path))
+            continue;
+        if (!route.methods.empty() && std::ranges::find(route.methods, method) == route.methods.end())
+            continue;
+        if (!best || route.path.size() > best->path.size())
+            best = &route;
+    }
+    return best;
+}
+
+} // namespace balsamreel::Config
--- /dev/null
+++ b/lib/Config/Schema.h
@@ -0,0 +1,26 @@
+// Keys of the configuration: their types, ranges and where their values go.
+#pragma once
+
+#include "balsamreel/Config/Files.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <toml++/toml.h>
+
+namespace balsamreel::Config {
+
+/// One key of a table: reads the node's value into the entity; gives an error text, or an empty one.
+template <typename Entity>
+struct KeyRow {
+    std::string_view name;
+    std::string (*read)(const toml::node&, Entity&);
+};
+
+std::span<const KeyRow<Service>> serviceKeys();
+std::span<const KeyRow<Route>> routeKeys();
+
+/// The name nearest to a misspelt one; empty if none is near.
+std::string nearestName(std::string_view name, const std::vector<std::string>& names);
+
+} // namespace balsamreel::Config
--- /dev/null
+++ b/lib/Load/Runner.cpp
@@ -0,0 +1,268 @@
+#include "balsamreel/Load/Runner.h"
+
+#include "balsamreel/Support/Random.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <istream>
+#include <memory>
+#include <ostream>
+#include <sstream>
+#include <thread>
+
+namespace balsamreel::Load {
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using Support::Duration;
+using Support::Endpoint;
+using Support::Instant;
+using Support::monotonicNow;
+
+namespace {
+
+constexpr double microsPerSecond = 1e6;
+constexpr int firstServerError = 500;
+constexpr const char* idHeader = "X-Test-Id";
+constexpr const char* outcomeHeader = "X-Balsam-Outcome";
+
+// All arrivals are drawn before the start, so that a slow system can't thin out its own load.
+std::vector<CallRecord> drawArrivals(const RunOptions& options)
+{
+    Support::Random random(options.seed);
+    double totalShare = 0;
+    for (const auto& kind : options.profile.kinds)
+        totalShare += kind.share;
+    std::vector<CallRecord> calls;
+    double phaseStart = 0;
+    for (std::uint32_t phase = 0; phase < options.phases.size(); ++phase) {
+        const auto& [rate, seconds] = options.phases[phase];
+        double at = rate > 0 ? random.exponential(1 / rate) : seconds;
+        while (at < seconds) {
+            double draw = random.fraction() * totalShare;
+            std::uint32_t kind = 0;
+            while (kind + 1 < options.profile.kinds.size() && draw >= options.profile.kinds[kind].share)
+                draw -= options.profile.kinds[kind++].share;
+            calls.push_back({calls.size(), kind, phase, CallResult::Good, Duration(static_cast<Duration::rep>((phaseStart + at) * microsPerSecond)), {}});
+            at += random.exponential(1 / rate);
+        }
+        phaseStart += seconds;
+    }
+    return calls;
+}
+
+bool bodyMatches(std::istream& stream, const std::string& id, std::uint64_t expectedBytes, bool& isWhole)
+{
+    auto pattern = id + "\n";
+    std::array<char, 16 * 1024> buffer;
+    std::uint64_t position = 0;
+    bool matches = true;
+    while (stream.read(buffer.data(), buffer.size()) || stream.gcount() > 0) {
+        for (std::streamsize index = 0; index < stream.gcount(); ++index, ++position)
+            matches = matches && buffer[static_cast<std::size_t>(index)] == pattern[position % pattern.size()];
+    }
+    isWhole = position == expectedBytes;
+    return matches;
+}
+
+/// One thread's connections to all entries.
+class Worker {
+public:
+    Worker(const RunOptions& options, std::string runName, std::uint64_t seed)
+        : options_(options)
+        , runName_(std::move(runName))
+        , random_(seed)
+        , sessions_(options.entries.size())
+    {
+    }
+
+    CallResult call(const CallRecord& record)
+    {
+        auto index = random_.below(options_.entries.size());
+        auto& session = sessions_[index];
+        if (!session) {
+            const auto& entry = options_.entries[index];
+            session = std::make_unique<HTTPClientSession>(entry.host, entry.port);
+            session->setKeepAlive(true);
+            session->setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(2 * options_.deadline.count())));
+        }
+        bool isConnected = false;
+        try {
+            return exchange(*session, record, isConnected);
+        } catch (const Poco::Exception&) {
+            session.reset();
+            return isConnected ? CallResult::Cut : CallResult::Unreachable;
+        }
+    }
+
+private:
+    CallResult exchange(HTTPClientSession& session, const CallRecord& record, bool& isConnected)
+    {
+        const auto& kind = options_.profile.kinds[record.kind];
+        auto id = fmt::format("{}-{}", runName_, record.id);
+        HTTPRequest request(kind.method, kind.path, HTTPRequest::HTTP_1_1);
+        request.set(idHeader, id);
+        request.set("X-Test-Work-Us", std::to_string(kind.work.count()));
+        request.set("X-Test-Bytes", std::to_string(kind.answerBytes));
+        request.set("X-Balsam-Remaining-Us", std::to_string(options_.deadline.count()));
+        if (kind.method != HTTPRequest::HTTP_GET)
+            request.setContentLength64(static_cast<Poco::Int64>(kind.requestBytes));
+        // A kept-alive connection that the other end has closed in the meantime is no failure of the call.
+        if (session.connected() && session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+            session.reset();
+        auto& out = session.sendRequest(request);
+        isConnected = true;
+        out << std::string(kind.requestBytes, 'r');
+        HTTPResponse response;
+        auto& in = session.receiveResponse(response);
+        bool isWhole = false;
+        bool matches = bodyMatches(in, id, kind.answerBytes, isWhole);
+        auto outcome = response.get(outcomeHeader, "");
+        if (!response.getKeepAlive())
+            session.reset();
+        if (outcome == "not-run")
+            return CallResult::NotRun;
+        if (outcome == "unknown")
+            return CallResult::Unknown;
+        if (response.getStatus() >= firstServerError)
+            return CallResult::ServerError;
+        if (!isWhole)
+            return CallResult::Cut;
+        return matches && response.get(idHeader, "") == id ? CallResult::Good : CallResult::WrongAnswer;
+    }
+
+    const RunOptions& options_;
+    std::string runName_;
+    Support::Random random_;
+    std::vector<std::unique_ptr<HTTPClientSession>> sessions_;
+};
+
+std::map<std::string, std::uint64_t> readExecutions(const std::vector<Endpoint>& servers)
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& server : servers) {
+        try {
+            HTTPClientSession session(server.host, server.port);
+            HTTPRequest request("GET", "/executions", HTTPRequest::HTTP_1_1);
+            session.sendRequest(request);
+            HTTPResponse response;
+            auto& stream = session.receiveResponse(response);
+            std::string id;
+            std::uint64_t count = 0;
+            while (stream >> id >> count)
+                counts[id] += count;
+        } catch (const Poco::Exception&) {
+            // A server that was killed took its log along.
+            continue;
+        }
+    }
+    return counts;
+}
+
+void checkExecutions(const RunOptions& options, const std::string& runName, RunResult& result)
+{
+    auto counts = readExecutions(options.servers);
+    for (const auto& call : result.calls) {
+        auto found = counts.find(fmt::format("{}-{}", runName, call.id));
+        auto count = found == counts.end() ? 0 : found->second;
+        bool isAtMostOnce = options.profile.kinds[call.kind].isAtMostOnce;
+        result.executions += isAtMostOnce ? count : 0;
+        result.ranTwice += isAtMostOnce && count > 1 ? 1 : 0;
+        result.falseNotRun += isAtMostOnce && call.result == CallResult::NotRun && count > 0 ? 1 : 0;
+    }
+}
+
+std::map<CallResult, std::uint64_t> countResults(const std::vector<CallRecord>& calls)
+{
+    std::map<CallResult, std::uint64_t> counts;
+    for (const auto& row : callResultNames)
+        counts[row.value] = 0;
+    for (const auto& call : calls)
+        ++counts[call.result];
+    return counts;
+}
+
+} // namespace
+
+RunResult runLoad(const RunOptions& options)
+{
+    RunResult result;
+    result.calls = drawArrivals(options);
+    auto runName = fmt::format("r{:x}", Support::randomSeed());
+    std::atomic<std::size_t> next{0};
+    auto start = monotonicNow() + std::chrono::milliseconds(100);
+    std::vector<std::thread> threads;
+    for (unsigned index = 0; index < options.workers; ++index) {
+        threads.emplace_back([&, index] {
+            Worker worker(options, runName, options.seed + index + 1);
+            while (true) {
+                auto position = next++;
+                if (position >= result.calls.size())
+                    return;
+                auto& call = result.calls[position];
+                std::this_thread::sleep_until(start + call.dueAt);
+                call.result = worker.call(call);
+                call.latency = monotonicNow() - (start + call.dueAt);
+            }
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    checkExecutions(options, runName, result);
+    return result;
+}
+
+double latencyQuantile(const std::vector<CallRecord>& calls, double quantile, const std::vector<CallKind>& kinds, bool longKinds)
+{
+    std::vector<Duration> latencies;
+    for (const auto& call : calls) {
+        if (call.result == CallResult::Good && kinds[call.kind].isLong == longKinds)
+            latencies.push_back(call.latency);
+    }
+    if (latencies.empty())
+        return 0;
+    auto position = std::min(latencies.size() - 1, static_cast<std::size_t>(quantile * static_cast<double>(latencies.size())));
+    std::ranges::nth_element(latencies, latencies.begin() + static_cast<std::ptrdiff_t>(position));
+    return Support::toMillis(latencies[position]);
+}
+
+std::string jsonSummary(const RunOptions& options, const RunResult& result)
+{
+    Poco::JSON::Object root;
+    root.set("profile", options.profile.name);
+    root.set("calls", result.calls.size());
+    for (const auto& [value, count] : countResults(result.calls))
+        root.set(std::string(Support::nameOf(callResultNames, value)), count);
+    for (double quantile : {0.5, 0.9, 0.99, 0.999}) {
+        root.set(fmt::format("short_p{}_ms", quantile * 100), latencyQuantile(result.calls, quantile, options.profile.kinds, false));
+        root.set(fmt::format("long_p{}_ms", quantile * 100), latencyQuantile(result.calls, quantile, options.profile.kinds, true));
+    }
+    root.set("at_most_once_executions", result.executions);
+    root.set("ran_twice", result.ranTwice);
+    root.set("false_not_run", result.falseNotRun);
+    std::ostringstream stream;
+    root.stringify(stream);
+    return std::move(stream).str();
+}
+
+std::string textSummary(const RunOptions& options, const RunResult& result)
+{
+    auto text = fmt::format("{:<14} {:>8} calls", options.profile.name, result.calls.size());
+    for (const auto& [value, count] : countResults(result.calls))
+        text += fmt::format("  {} {}", Support::nameOf(callResultNames, value), count);
+    const auto& kinds = options.profile.kinds;
+    text += fmt::format("\n  short p50 {:.2f} ms, p99 {:.2f} ms; long p50 {:.2f} ms, p99 {:.2f} ms\n", latencyQuantile(result.calls, 0.5, kinds, false), latencyQuantile(result.calls, 0.99, kinds, false), latencyQuantile(result.calls, 0.5, kinds, true), latencyQuantile(result.calls, 0.99, kinds, true));
+    text += fmt::format("  at-most-once: {} executions, {} ran twice, {} falsely said not to have run\n", result.executions, result.ranTwice, result.falseNotRun);
+    return text;
+}
+
+} // namespace balsamreel::Load
--- /dev/null
+++ b/lib/Node/Daemon.cpp
@@ -0,0 +1,108 @@
+#include "balsamreel/Node/Daemon.h"
+
+#include "balsamreel/Support/Log.h"
+#include "balsamreel/Support/Random.h"
+
+namespace balsamreel::Node {
+
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using Support::Duration;
+using Support::monotonicNow;
+using Support::sendText;
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(10);
+// A caller may have sent a call just before it learns that its connection closes.
+constexpr Duration quietBeforeEnd = std::chrono::milliseconds(1000);
+constexpr int adminConnections = 16;
+
+Support::HttpServerOptions connectionLimit(int maximum)
+{
+    Support::HttpServerOptions options;
+    options.maximumConnections = maximum;
+    return options;
+}
+
+} // namespace
+
+Daemon::Daemon(NodeSettings settings)
+    : context_(std::move(settings), static_cast<std::uint64_t>(Support::wallMicros()), Support::randomSeed())
+    , guard_(context_)
+    , entry_(context_)
+    , gossip_(context_, guard_, Support::randomSeed())
+    , follower_(context_, gossip_)
+    , admin_(context_, guard_, gossip_, follower_)
+    , callers_(
+          context_.settings.listen, [this](auto& request, auto& response) { entry_.handle(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
+    , peers_(
+          context_.settings.peer, [this](auto& request, auto& response) { handlePeer(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
+    , operators_(
+          context_.settings.admin, [this](auto& request, auto& response) { admin_.handle(request, response); }, connectionLimit(adminConnections))
+{
+}
+
+Daemon::~Daemon()
+{
+    isEnding_ = true;
+    if (ticker_.joinable())
+        ticker_.join();
+    callers_.abort();
+    peers_.abort();
+    operators_.abort();
+}
+
+void Daemon::start()
+{
+    operators_.start();
+    peers_.start();
+    callers_.start();
+    gossip_.start();
+    follower_.start();
+    ticker_ = std::thread([this] { runTicks(); });
+    const auto& settings = context_.settings;
+    context_.timeline.record("node", "state=started");
+    Support::log(Support::LogLevel::Info, "started", "node={} listen={} peer={} admin={}", settings.node, settings.listen.text(), settings.peer.text(), settings.admin.text());
+}
+
+void Daemon::handlePeer(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    if (request.getURI() != "/balsam/head" || request.has("X-Balsam-Attempt"))
+        return guard_.handle(request, response);
+    auto active = context_.config.get();
+    if (!active)
+        return sendText(response, HTTPResponse::HTTP_NOT_FOUND, "text/plain", "no configuration\n");
+    sendText(response, HTTPResponse::HTTP_OK, "text/plain", Config::encodeHead(active->head));
+}
+
+void Daemon::runTicks()
+{
+    while (!isEnding_) {
+        auto now = monotonicNow();
+        guard_.tick(now);
+        context_.pool.tick(now);
+        std::this_thread::sleep_for(tickInterval);
+    }
+}
+
+void Daemon::drain()
+{
+    context_.timeline.record("node", "state=leaving");
+    Support::log(Support::LogLevel::Info, "leaving", "in_flight={}", context_.inFlight.count());
+    context_.isLeaving = true;
+    gossip_.leave();
+    guard_.drainAll();
+    callers_.stopAccepting();
+    auto end = monotonicNow() + context_.settings.grace;
+    auto quietSince = monotonicNow();
+    while (monotonicNow() < end && monotonicNow() - quietSince < quietBeforeEnd) {
+        if (context_.inFlight.count() > 0)
+            quietSince = monotonicNow();
+        std::this_thread::sleep_for(tickInterval);
+    }
+    Support::log(Support::LogLevel::Info, "ended", "in_flight={}", context_.inFlight.count());
+}
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/lib/Node/Entry.cpp
@@ -0,0 +1,219 @@
+#include "balsamreel/Node/Entry.h"
+
+#include "balsamreel/Support/Http.h"
+#include "balsamreel/Wire/Headers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace balsamreel::Node {
+
+using Balance::AttemptResult;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using Support::Duration;
+using Support::Instant;
+using Support::monotonicNow;
+
+namespace {
+
+constexpr unsigned maximumAttempts = 4;
+constexpr int firstServerError = 500;
+
+std::optional<std::uint64_t> numberHeader(const HTTPServerRequest& request, const char* name)
+{
+    auto text = request.get(name, "");
+    std::uint64_t number = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    bool isWhole = error == std::errc() && end == text.data() + text.size() && !text.empty();
+    return isWhole ? std::optional(number) : std::nullopt;
+}
+
+std::string outcomeOf(const HTTPResponse& answer)
+{
+    return answer.get(Wire::outcomeHeader, "");
+}
+
+} // namespace
+
+struct Entry::Call {
+    HTTPServerRequest& request;
+    HTTPServerResponse& response;
+    std::shared_ptr<const ActiveConfig> config;
+    const Config::Route* route = nullptr;
+    const Config::Service* service = nullptr;
+    std::string callId;
+    Instant startedAt;
+    Instant deadline;
+    std::uint64_t depth = 0;
+    RequestBody body;
+    std::vector<Balance::ServerId> excluded;
+    std::string lastRefusal = "no-server";
+    Duration retryAfter{};
+    unsigned attempts = 0;
+};
+
+bool Entry::readCall(Call& call)
+{
+    auto refuse = [&](int status, const std::string& reason) {
+        context_.metrics.add(fmt::format("balsam_entry_rejected_total{{reason=\"{}\"}}", reason));
+        sendNotRun(call.response, status, reason, Duration::zero(), true);
+        return false;
+    };
+    call.config = context_.config.get();
+    if (!call.config)
+        return refuse(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no-configuration");
+    const auto& configuration = call.config->configuration;
+    call.route = Config::findRoute(configuration, call.request.getMethod(), Support::pathOf(call.request.getURI()));
+    if (!call.route)
+        return refuse(HTTPResponse::HTTP_NOT_FOUND, "no-route");
+    call.service = &configuration.services.at(call.route->service);
+    call.startedAt = monotonicNow();
+    auto allowed = call.route->deadline > Duration::zero() ? call.route->deadline : call.service->deadline;
+    if (auto remaining = numberHeader(call.request, Wire::remainingHeader))
+        allowed = std::min(allowed, Duration(static_cast<Duration::rep>(std::min<std::uint64_t>(*remaining, static_cast<std::uint64_t>(allowed.count())))));
+    call.deadline = call.startedAt + allowed;
+    constexpr std::uint64_t maximumDepth = 64;
+    call.depth = std::min(maximumDepth, numberHeader(call.request, Wire::depthHeader).value_or(0));
+    call.callId = call.request.get(Wire::callHeader, "");
+    if (call.callId.empty())
+        call.callId = fmt::format("{:x}-{:x}", context_.attemptIncarnation, context_.nextAttempt++);
+    if (call.body.readFirst())
+        return refuse(HTTPResponse::HTTP_BAD_REQUEST, "request-cut");
+    return true;
+}
+
+void Entry::fillRequest(const Call& call, const Balance::Choice& choice, HTTPRequest& request)
+{
+    copyHeaders(call.request, request);
+    Wire::AttemptId attempt{context_.attemptIncarnation, context_.nextAttempt++};
+    request.set(Wire::attemptHeader, attempt.text());
+    request.set(Wire::callHeader, call.callId);
+    request.set(Wire::serverHeader, choice.server.address.text());
+    request.set(Wire::guardHeader, std::to_string(choice.guardIncarnation));
+    request.set(Wire::remainingHeader, std::to_string((call.deadline - monotonicNow()).count()));
+    request.set(Wire::depthHeader, std::to_string(call.depth));
+    request.set(Wire::priorityHeader, std::to_string(call.route->priority));
+    request.set(Wire::callerHeader, call.request.clientAddress().host().toString());
+    request.set(Wire::routeHeader, call.route->name);
+    request.set(Wire::workClassHeader, std::string(Support::nameOf(Config::workClassNames, call.route->workClass)));
+    if (call.route->isAtMostOnce)
+        request.set(Wire::atMostOnceHeader, "1");
+    if (!call.body.isWhole())
+        request.set(Wire::holdBodyHeader, "1");
+}
+
+void Entry::giveUp(Call& call, const std::string& reason)
+{
+    context_.metrics.add(fmt::format("balsam_entry_not_run_total{{reason=\"{}\"}}", reason));
+    sendNotRun(call.response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, call.retryAfter, !call.body.isWhole());
+}
+
+void Entry::sendUnknown(Call& call, const std::string& reason)
+{
+    context_.metrics.add("balsam_entry_unknown_total");
+    call.response.set(Wire::outcomeHeader, std::string(Support::nameOf(Wire::outcomeNames, Wire::Outcome::Unknown)));
+    call.response.set(Wire::reasonHeader, reason);
+    call.response.setKeepAlive(false);
+    Support::sendText(call.response, HTTPResponse::HTTP_GATEWAY_TIMEOUT, "text/plain", "outcome unknown: " + reason + "\n");
+}
+
+Entry::Step Entry::onError(Call& call, std::error_code error, const RequestBody& body)
+{
+    if (error == ExchangeError::CallerLeft || error == ExchangeError::RequestCut)
+        return Step::Answered;
+    bool mayRepeat = error == ExchangeError::Unreachable || !call.route->isAtMostOnce;
+    if (mayRepeat && !body.isSpent() && error != ExchangeError::TimedOut) {
+        call.lastRefusal = "unreachable";
+        return Step::TryAnother;
+    }
+    sendUnknown(call, error.message());
+    return Step::Answered;
+}
+
+Entry::Step Entry::onRefusal(Call& call, Exchange& exchange, const HTTPResponse& answer, const RequestBody& body)
+{
+    call.lastRefusal = answer.get(Wire::reasonHeader, "refused");
+    // The short body is read so that the connection can be used again.
+    exchange.relay(answer, true, [](const char*, std::size_t) { return true; });
+    if (!body.isSpent())
+        return Step::TryAnother;
+    giveUp(call, call.lastRefusal);
+    return Step::Answered;
+}
+
+Entry::Step Entry::attempt(Call& call, const Balance::Choice& choice)
+{
+    HTTPRequest request(call.request.getMethod(), call.request.getURI(), HTTPRequest::HTTP_1_1);
+    fillRequest(call, choice, request);
+    auto sentAt = monotonicNow();
+    Exchange exchange(context_.pool, {.target = choice.guard, .deadline = call.deadline, .holdsBody = !call.body.isWhole(), .isFreshConnection = false, .caller = &socketOf(call.request)});
+    HTTPResponse answer;
+    auto error = exchange.start(request, call.body, answer);
+
+    Balance::Feedback feedback;
+    feedback.latency = monotonicNow() - sentAt;
+    feedback.stamp = Wire::parseLoadStamp(answer.get(Wire::loadHeader, ""));
+    bool isRefused = !error && outcomeOf(answer) == Support::nameOf(Wire::outcomeNames, Wire::Outcome::NotRun);
+    if (error)
+        feedback.result = error == ExchangeError::Unreachable ? AttemptResult::Unreachable : error == ExchangeError::CallerLeft ? AttemptResult::Abandoned
+                                                                                                                                : AttemptResult::Broken;
+    else if (isRefused)
+        feedback.result = AttemptResult::Refused;
+    else
+        feedback.result = answer.getStatus() >= firstServerError ? AttemptResult::ServerError : AttemptResult::Answered;
+    {
+        std::lock_guard lock(context_.balancerMutex);
+        context_.balancer.finished(monotonicNow(), choice.server, feedback);
+    }
+    if (error)
+        return onError(call, error, call.body);
+    if (isRefused)
+        return onRefusal(call, exchange, answer, call.body);
+
+    call.response.set(Wire::outcomeHeader, outcomeOf(answer));
+    call.response.set(Wire::callHeader, call.callId);
+    call.response.set(Wire::serverHeader, answer.get(Wire::serverHeader, ""));
+    relayAnswer(exchange, answer, call.request, call.response);
+    return Step::Answered;
+}
+
+void Entry::handle(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    InFlight::Scope scope(context_.inFlight);
+    if (context_.isLeaving)
+        response.setKeepAlive(false);
+    Call call{.request = request, .response = response, .body = RequestBody(request)};
+    if (!readCall(call))
+        return;
+    bool isNaive = context_.settings.isNaive || call.service->policy == Config::PolicyKind::Naive;
+    while (true) {
+        auto now = monotonicNow();
+        if (call.attempts == maximumAttempts || now >= call.deadline) {
+            giveUp(call, call.lastRefusal);
+            break;
+        }
+        std::optional<Balance::Choice> choice;
+        {
+            std::lock_guard lock(context_.balancerMutex);
+            choice = context_.balancer.choose(now, call.service->name, isNaive, call.excluded);
+            if (choice)
+                context_.balancer.started(now, choice->server);
+        }
+        if (!choice) {
+            giveUp(call, call.lastRefusal);
+            break;
+        }
+        ++call.attempts;
+        call.excluded.push_back(choice->server);
+        if (attempt(call, *choice) == Step::Answered)
+            break;
+    }
+    context_.metrics.observe(fmt::format("balsam_entry_call_ms{{route=\"{}\"}}", call.route->name), Support::toMillis(monotonicNow() - call.startedAt));
+}
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/lib/Node/Exchange.cpp
@@ -0,0 +1,409 @@
+#include "balsamreel/Node/Exchange.h"
+
+#include "balsamreel/Support/Http.h"
+#include "balsamreel/Wire/Headers.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <poll.h>
+
+namespace balsamreel::Node {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using Poco::Net::Socket;
+using Support::Duration;
+using Support::Instant;
+using Support::monotonicNow;
+
+namespace {
+
+constexpr std::size_t bufferBytes = 32 * 1024;
+constexpr int endOfStream = std::char_traits<char>::eof();
+
+constexpr std::array<std::string_view, 9> hopHeaders{"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-authorization", "proxy-authenticate", "expect"};
+constexpr std::string_view ownPrefix = "x-balsam-";
+
+Poco::Timespan timespanOf(Duration duration)
+{
+    return Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(std::max(Duration(1), duration).count()));
+}
+
+} // namespace
+
+Poco::Net::StreamSocket& socketOf(HTTPServerRequest& request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+}
+
+bool hasClosed(Poco::Net::StreamSocket& socket)
+{
+    try {
+        char byte = 0;
+        return socket.poll(Poco::Timespan(0), Socket::SELECT_READ) && socket.receiveBytes(&byte, 1, MSG_PEEK) <= 0;
+    } catch (const Poco::Exception&) {
+        return true;
+    }
+}
+
+bool Session::isStale()
+{
+    return !connected() || buffered() > 0 || socket().poll(Poco::Timespan(0), Socket::SELECT_READ);
+}
+
+std::error_code Session::readBody(const HTTPResponse& response, bool hasBody, const Sink& sink)
+{
+    if (!hasBody)
+        return {};
+    try {
+        if (response.getChunkedTransferEncoding())
+            return readChunked(sink);
+        if (response.hasContentLength())
+            return readFixed(static_cast<std::uint64_t>(response.getContentLength64()), sink);
+        return readToEnd(sink);
+    } catch (const Poco::Exception&) {
+        return ExchangeError::AnswerCut;
+    }
+}
+
+std::error_code Session::readFixed(std::uint64_t length, const Sink& sink)
+{
+    std::vector<char> buffer(std::min<std::uint64_t>(length, bufferBytes));
+    while (length > 0) {
+        int count = read(buffer.data(), static_cast<std::streamsize>(std::min<std::uint64_t>(length, buffer.size())));
+        if (count <= 0)
+            return ExchangeError::AnswerCut;
+        length -= static_cast<std::uint64_t>(count);
+        if (!sink(buffer.data(), static_cast<std::size_t>(count)))
+            return ExchangeError::CallerLeft;
+    }
+    return {};
+}
+
+bool Session::skipLine()
+{
+    int letter = get();
+    while (letter != endOfStream && letter != '\n')
+        letter = get();
+    return letter != endOfStream;
+}
+
+bool Session::readChunkSize(std::uint64_t& size)
+{
+    constexpr std::size_t maximumDigits = 15;
+    constexpr int hexBase = 16;
+    std::string digits;
+    int letter = get();
+    while (letter != endOfStream && std::isxdigit(letter) && digits.size() < maximumDigits) {
+        digits += static_cast<char>(letter);
+        letter = get();
+    }
+    if (digits.empty() || letter == endOfStream)
+        return false;
+    std::from_chars(digits.data(), digits.data() + digits.size(), size, hexBase);
+    return letter == '\n' || skipLine();
+}
+
+// POCO's own chunked stream ends alike for a whole body and for a cut one, so the chunks are read here.
+std::error_code Session::readChunked(const Sink& sink)
+{
+    while (true) {
+        std::uint64_t size = 0;
+        if (!readChunkSize(size))
+            return ExchangeError::AnswerCut;
+        if (size == 0)
+            break;
+        if (auto error = readFixed(size, sink))
+            return error;
+        if (!skipLine())
+            return ExchangeError::AnswerCut;
+    }
+    // Trailers end with an empty line.
+    while (true) {
+        int letter = get();
+        if (letter == '\r')
+            letter = get();
+        if (letter == '\n')
+            return {};
+        if (letter == endOfStream || !skipLine())
+            return ExchangeError::AnswerCut;
+    }
+}
+
+std::error_code Session::readToEnd(const Sink& sink)
+{
+    std::vector<char> buffer(bufferBytes);
+    while (true) {
+        int count = read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
+        if (count <= 0)
+            return {};
+        if (!sink(buffer.data(), static_cast<std::size_t>(count)))
+            return ExchangeError::CallerLeft;
+    }
+}
+
+std::unique_ptr<Session> ConnectionPool::open(const Support::Endpoint& endpoint) const
+{
+    auto session = std::make_unique<Session>(endpoint.host, endpoint.port);
+    session->setKeepAlive(true);
+    session->setTimeout(timespanOf(connectTimeout_), timespanOf(std::chrono::seconds(5)), timespanOf(std::chrono::seconds(5)));
+    // The pool decides what is too old; POCO must not reconnect by itself.
+    session->setKeepAliveTimeout(Poco::Timespan(1, 0, 0, 0, 0));
+    return session;
+}
+
+std::unique_ptr<Session> ConnectionPool::acquire(Instant now, const Support::Endpoint& endpoint)
+{
+    while (true) {
+        std::unique_ptr<Session> session;
+        {
+            std::lock_guard lock(mutex_);
+            auto found = idle_.find(endpoint);
+            if (found == idle_.end() || found->second.empty())
+                break;
+            auto idle = std::move(found->second.back());
+            found->second.pop_back();
+            if (now - idle.since < maximumIdle)
+                session = std::move(idle.session);
+        }
+        if (session && !session->isStale())
+            return session;
+    }
+    return open(endpoint);
+}
+
+void ConnectionPool::release(Instant now, const Support::Endpoint& endpoint, std::unique_ptr<Session> session)
+{
+    if (session->isStale())
+        return;
+    std::lock_guard lock(mutex_);
+    auto& idle = idle_[endpoint];
+    if (idle.size() < maximumIdlePerEndpoint)
+        idle.push_back({std::move(session), now});
+}
+
+void ConnectionPool::tick(Instant now)
+{
+    std::lock_guard lock(mutex_);
+    for (auto& [endpoint, idle] : idle_)
+        idle.remove_if([&](const Idle& entry) { return now - entry.since >= maximumIdle; });
+    std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::size_t ConnectionPool::idleCount() const
+{
+    std::lock_guard lock(mutex_);
+    std::size_t count = 0;
+    for (const auto& [endpoint, idle] : idle_)
+        count += idle.size();
+    return count;
+}
+
+RequestBody::RequestBody(HTTPServerRequest& request)
+    : request_(request)
+{
+}
+
+bool RequestBody::isTruncated(std::uint64_t total) const
+{
+    if (request_.hasContentLength())
+        return total != static_cast<std::uint64_t>(request_.getContentLength64());
+    // The end of a chunked body can't be told from a cut; a caller that is gone could not get the answer either way.
+    return request_.getChunkedTransferEncoding() && hasClosed(socketOf(request_));
+}
+
+std::error_code RequestBody::readFirst()
+{
+    bool hasBody = request_.getChunkedTransferEncoding() || (request_.hasContentLength() && request_.getContentLength64() > 0);
+    if (!hasBody) {
+        isWhole_ = true;
+        return {};
+    }
+    bool isKnownLong = request_.hasContentLength() && request_.getContentLength64() > static_cast<Poco::Int64>(keptBytes);
+    if (isKnownLong)
+        return {};
+    first_.resize(keptBytes);
+    request_.stream().read(first_.data(), static_cast<std::streamsize>(first_.size()));
+    first_.resize(static_cast<std::size_t>(request_.stream().gcount()));
+    isWhole_ = first_.size() < keptBytes || (request_.hasContentLength() && first_.size() == static_cast<std::size_t>(request_.getContentLength64()));
+    if (isWhole_ && isTruncated(first_.size()))
+        return ExchangeError::RequestCut;
+    return {};
+}
+
+void RequestBody::describe(HTTPRequest& request) const
+{
+    if (request_.hasContentLength() && !isWhole_)
+        request.setContentLength64(request_.getContentLength64());
+    else if (isWhole_)
+        request.setContentLength64(static_cast<Poco::Int64>(first_.size()));
+    else
+        request.setChunkedTransferEncoding(true);
+}
+
+std::error_code RequestBody::writeTo(std::ostream& stream)
+{
+    stream.write(first_.data(), static_cast<std::streamsize>(first_.size()));
+    if (isWhole_)
+        return {};
+    isSpent_ = true;
+    std::uint64_t total = first_.size();
+    std::vector<char> buffer(bufferBytes);
+    auto& source = request_.stream();
+    while (source.read(buffer.data(), static_cast<std::streamsize>(buffer.size())) || source.gcount() > 0) {
+        total += static_cast<std::uint64_t>(source.gcount());
+        if (!stream.write(buffer.data(), source.gcount()))
+            return ExchangeError::NoAnswer;
+    }
+    return isTruncated(total) ? make_error_code(ExchangeError::RequestCut) : std::error_code();
+}
+
+Exchange::~Exchange()
+{
+    // A connection with an answer outstanding is closed, which tells the other end to cancel.
+    if (session_)
+        session_->abort();
+}
+
+void Exchange::setReceiveTimeout()
+{
+    constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
+    session_->socket().setReceiveTimeout(timespanOf(std::max(shortestTimeout, options_.deadline - monotonicNow())));
+}
+
+std::error_code Exchange::waitReadable()
+{
+    constexpr std::size_t answerIndex = 0;
+    constexpr std::size_t callerIndex = 1;
+    std::array<pollfd, 2> descriptors{};
+    descriptors[answerIndex] = {session_->socket().impl()->sockfd(), POLLIN, 0};
+    nfds_t watched = 1;
+    if (options_.caller) {
+        descriptors[callerIndex] = {options_.caller->impl()->sockfd(), POLLIN, 0};
+        watched = 2;
+    }
+    while (true) {
+        auto left = std::chrono::ceil<std::chrono::milliseconds>(options_.deadline - monotonicNow());
+        if (left <= left.zero())
+            return ExchangeError::TimedOut;
+        if (::poll(descriptors.data(), watched, static_cast<int>(left.count())) <= 0)
+            continue;
+        if (descriptors[answerIndex].revents != 0)
+            return {};
+        if (hasClosed(*options_.caller))
+            return ExchangeError::CallerLeft;
+        // The caller sent its next request already; that says nothing about leaving.
+        watched = 1;
+    }
+}
+
+std::error_code Exchange::sendAndWait(HTTPRequest& request, RequestBody& body, HTTPResponse& response)
+{
+    auto& stream = session_->sendRequest(request);
+    wasSent_ = true;
+    if (!options_.holdsBody) {
+        if (auto error = body.writeTo(stream))
+            return error;
+    }
+    if (options_.holdsBody)
+        stream.flush();
+    else
+        session_->flushRequest();
+    if (auto error = waitReadable())
+        return error;
+    setReceiveTimeout();
+    if (options_.holdsBody && session_->peekResponse(response)) {
+        if (auto error = body.writeTo(stream))
+            return error;
+        session_->flushRequest();
+        if (auto error = waitReadable())
+            return error;
+    }
+    session_->receiveResponse(response);
+    return {};
+}
+
+std::error_code Exchange::start(HTTPRequest& request, RequestBody& body, HTTPResponse& response)
+{
+    auto now = monotonicNow();
+    session_ = options_.isFreshConnection ? pool_.open(options_.target) : pool_.acquire(now, options_.target);
+    body.describe(request);
+    try {
+        return sendAndWait(request, body, response);
+    } catch (const Poco::TimeoutException&) {
+        return wasSent_ ? ExchangeError::TimedOut : ExchangeError::Unreachable;
+    } catch (const Poco::Exception&) {
+        return wasSent_ ? ExchangeError::NoAnswer : ExchangeError::Unreachable;
+    }
+}
+
+std::error_code Exchange::relay(const HTTPResponse& response, bool hasBody, const Session::Sink& sink)
+{
+    if (auto error = session_->readBody(response, hasBody, sink))
+        return error;
+    bool endsWithConnection = hasBody && !response.getChunkedTransferEncoding() && !response.hasContentLength();
+    if (response.getKeepAlive() && !endsWithConnection)
+        pool_.release(monotonicNow(), options_.target, std::move(session_));
+    return {};
+}
+
+void copyHeaders(const Poco::Net::MessageHeader& from, Poco::Net::MessageHeader& to)
+{
+    for (const auto& [name, value] : from) {
+        auto lower = Poco::toLower(name);
+        bool isHop = std::ranges::find(hopHeaders, lower) != hopHeaders.end();
+        if (isHop || lower.starts_with(ownPrefix) || lower == "content-length")
+            continue;
+        to.add(name, value);
+    }
+}
+
+void sendNotRun(HTTPServerResponse& response, int status, const std::string& reason, Duration retryAfter, bool isBodyUnread)
+{
+    response.set(Wire::outcomeHeader, std::string(Support::nameOf(Wire::outcomeNames, Wire::Outcome::NotRun)));
+    response.set(Wire::reasonHeader, reason);
+    auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(retryAfter).count());
+    response.set("Retry-After", std::to_string(seconds));
+    if (isBodyUnread)
+        response.setKeepAlive(false);
+    Support::sendText(response, status, "text/plain", "not run: " + reason + "\n");
+}
+
+bool answerHasBody(const std::string& method, int status)
+{
+    constexpr int firstFinalStatus = 200;
+    return method != HTTPRequest::HTTP_HEAD && status >= firstFinalStatus && status != HTTPResponse::HTTP_NO_CONTENT && status != HTTPResponse::HTTP_NOT_MODIFIED;
+}
+
+std::error_code relayAnswer(Exchange& exchange, const HTTPResponse& answer, HTTPServerRequest& request, HTTPServerResponse& response, const Session::Sink& copy)
+{
+    response.setStatusAndReason(answer.getStatus(), answer.getReason());
+    copyHeaders(answer, response);
+    bool hasBody = answerHasBody(request.getMethod(), answer.getStatus());
+    if (answer.hasContentLength())
+        response.setContentLength64(answer.getContentLength64());
+    else if (hasBody)
+        response.setChunkedTransferEncoding(true);
+    auto& stream = response.send();
+    auto error = exchange.relay(answer, hasBody, [&](const char* data, std::size_t size) {
+        if (copy)
+            copy(data, size);
+        return static_cast<bool>(stream.write(data, static_cast<std::streamsize>(size)));
+    });
+    // The head is out already: only a cut connection tells the caller that the body is not whole.
+    if (error)
+        socketOf(request).shutdown();
+    else
+        stream.flush();
+    return error;
+}
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/lib/Node/Gossip.cpp
@@ -0,0 +1,200 @@
+#include "balsamreel/Node/Gossip.h"
+
+#include "balsamreel/Support/Log.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace balsamreel::Node {
+
+using Support::Duration;
+using Support::Instant;
+using Support::monotonicNow;
+using Support::wallMicros;
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(50);
+constexpr std::size_t watchersPerDomain = 2;
+constexpr unsigned maximumDatagramsPerTick = 256;
+
+Wire::MemberRecord selfRecord(const Context& context)
+{
+    Wire::MemberRecord record;
+    record.node = context.settings.node;
+    record.incarnation = context.incarnation;
+    record.peer = context.settings.peer;
+    record.admin = context.settings.admin;
+    record.domain = context.settings.domain;
+    record.region = context.settings.region;
+    return record;
+}
+
+bool isServing(const Wire::MemberRecord& record)
+{
+    return record.state == Wire::MemberState::Alive || record.state == Wire::MemberState::Suspect;
+}
+
+} // namespace
+
+Gossip::Gossip(Context& context, Guard& guard, std::uint64_t seed)
+    : context_(context)
+    , guard_(guard)
+    , swim_({}, selfRecord(context), seed)
+    , socket_(Poco::Net::SocketAddress(context.settings.peer.host, context.settings.peer.port), true)
+{
+    swim_.setSeeds(context.settings.seeds);
+}
+
+Gossip::~Gossip()
+{
+    isEnding_ = true;
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void Gossip::start()
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+void Gossip::leave()
+{
+    std::lock_guard lock(mutex_);
+    swim_.leave();
+}
+
+std::vector<Wire::MemberRecord> Gossip::members() const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<Wire::MemberRecord> records{swim_.self()};
+    for (const auto& [node, member] : swim_.members())
+        records.push_back(member.record);
+    return records;
+}
+
+std::optional<Wire::MemberRecord> Gossip::newerPeer() const
+{
+    std::lock_guard lock(mutex_);
+    return swim_.newerPeer();
+}
+
+bool Gossip::isWatcher() const
+{
+    std::lock_guard lock(mutex_);
+    std::size_t before = 0;
+    for (const auto& [node, member] : swim_.members()) {
+        if (isServing(member.record) && member.record.domain == context_.settings.domain && node < context_.settings.node)
+            ++before;
+    }
+    return before < watchersPerDomain;
+}
+
+void Gossip::run()
+{
+    while (!isEnding_) {
+        receiveAll(tickInterval);
+        tick(monotonicNow());
+    }
+}
+
+void Gossip::receiveAll(Duration wait)
+{
+    std::array<std::uint8_t, Wire::maximumDatagramBytes + 1> buffer;
+    Poco::Timespan timeout(static_cast<Poco::Timespan::TimeDiff>(wait.count()));
+    for (unsigned count = 0; count < maximumDatagramsPerTick; ++count) {
+        try {
+            if (!socket_.poll(timeout, Poco::Net::Socket::SELECT_READ))
+                return;
+            Poco::Net::SocketAddress from;
+            int size = socket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
+            Wire::Message message;
+            if (size <= 0 || Wire::decode({buffer.data(), static_cast<std::size_t>(size)}, message)) {
+                context_.metrics.add("balsam_gossip_malformed_total");
+                continue;
+            }
+            context_.metrics.add("balsam_gossip_received_bytes_total", size);
+            auto& clock = context_.timeline.clock();
+            clock.observe(message.envelope.time, wallMicros());
+            std::vector<Membership::Outgoing> outgoing;
+            {
+                std::lock_guard lock(mutex_);
+                outgoing = swim_.receive(monotonicNow(), {from.host().toString(), from.port()}, message, clock.tick(wallMicros()));
+            }
+            send(outgoing);
+        } catch (const Poco::Exception&) {
+            // An earlier datagram met a closed port; that is no fault of this one.
+            context_.metrics.add("balsam_gossip_socket_errors_total");
+        }
+        timeout = 0;
+    }
+}
+
+void Gossip::tick(Instant now)
+{
+    std::vector<Membership::Outgoing> outgoing;
+    {
+        std::lock_guard lock(mutex_);
+        swim_.setServers(guard_.records());
+        if (auto active = context_.config.get())
+            swim_.setGeneration(active->head.generation);
+        outgoing = swim_.tick(now, context_.timeline.clock().tick(wallMicros()));
+        recordChanges();
+    }
+    send(outgoing);
+    publish(now);
+}
+
+void Gossip::recordChanges()
+{
+    for (const auto& change : swim_.takeChanges()) {
+        auto state = Support::nameOf(Wire::memberStateNames, change.state);
+        context_.timeline.record("member", fmt::format("member={} state={}", change.node, state));
+        context_.metrics.add(fmt::format("balsam_member_changes_total{{state=\"{}\"}}", state));
+    }
+}
+
+void Gossip::send(const std::vector<Membership::Outgoing>& outgoing)
+{
+    for (const auto& datagram : outgoing) {
+        auto bytes = Wire::encode(datagram.message);
+        if (bytes.size() > Wire::maximumDatagramBytes) {
+            context_.metrics.add("balsam_gossip_oversized_total");
+            continue;
+        }
+        try {
+            socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(datagram.to.host, datagram.to.port));
+            context_.metrics.add("balsam_gossip_sent_bytes_total", static_cast<std::int64_t>(bytes.size()));
+        } catch (const Poco::Exception&) {
+            context_.metrics.add("balsam_gossip_socket_errors_total");
+        }
+    }
+}
+
+void Gossip::publish(Instant now)
+{
+    std::vector<Balance::ServerFacts> facts;
+    {
+        std::lock_guard lock(mutex_);
+        if (swim_.revision() == publishedRevision_)
+            return;
+        publishedRevision_ = swim_.revision();
+        auto addServers = [&](const Wire::MemberRecord& record) {
+            if (!isServing(record))
+                return;
+            for (const auto& server : record.servers)
+                facts.push_back({{record.node, server.address}, server.service, record.domain, record.region, record.peer, server.slots, server.state, record.incarnation});
+        };
+        addServers(swim_.self());
+        for (const auto& [node, member] : swim_.members())
+            addServers(member.record);
+    }
+    std::lock_guard lock(context_.balancerMutex);
+    context_.balancer.update(now, facts);
+}
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/lib/Node/Guard.cpp
@@ -0,0 +1,316 @@
+#include "balsamreel/Node/Guard.h"
+
+#include "balsamreel/Support/Http.h"
+#include "balsamreel/Support/Log.h"
+#include "balsamreel/Wire/Headers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace balsamreel::Node {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using Support::Duration;
+using Support::Instant;
+using Support::monotonicNow;
+
+namespace {
+
+constexpr Duration defaultRemaining = std::chrono::seconds(10);
+constexpr Duration maximumRemaining = std::chrono::hours(1);
+constexpr Duration waitSlice = std::chrono::milliseconds(50);
+constexpr std::uint64_t maximumDepth = 64;
+constexpr int firstServerError = 500;
+
+std::uint64_t numberHeader(const HTTPServerRequest& request, const char* name, std::uint64_t fallback, std::uint64_t maximum)
+{
+    auto text = request.get(name, "");
+    std::uint64_t number = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    bool isWhole = error == std::errc() && end == text.data() + text.size() && !text.empty();
+    return isWhole ? std::min(number, maximum) : fallback;
+}
+
+Admission::LaneHint laneHintOf(const std::string& workClass)
+{
+    if (workClass == "short")
+        return Admission::LaneHint::Short;
+    return workClass == "long" ? Admission::LaneHint::Long : Admission::LaneHint::Learn;
+}
+
+std::string outcomeName(Wire::Outcome outcome)
+{
+    return std::string(Support::nameOf(Wire::outcomeNames, outcome));
+}
+
+void sendUnknown(HTTPServerResponse& response, const std::string& reason)
+{
+    response.set(Wire::outcomeHeader, outcomeName(Wire::Outcome::Unknown));
+    response.set(Wire::reasonHeader, reason);
+    response.setKeepAlive(false);
+    Support::sendText(response, HTTPResponse::HTTP_GATEWAY_TIMEOUT, "text/plain", "outcome unknown: " + reason + "\n");
+}
+
+} // namespace
+
+struct Guard::Call {
+    Wire::AttemptId attempt;
+    Support::Endpoint server;
+    Admission::Ticket ticket;
+    bool isAtMostOnce = false;
+    bool holdsBody = false;
+    std::unique_ptr<RequestBody> body;
+};
+
+Admission::GateOptions Guard::gateOptions(const Wire::ServerRecord& record) const
+{
+    Admission::GateOptions options;
+    options.slots = record.slots;
+    options.isUnlimited = context_.settings.isNaive;
+    auto active = context_.config.get();
+    if (!active)
+        return options;
+    auto service = active->configuration.services.find(record.service);
+    if (service == active->configuration.services.end())
+        return options;
+    options.longShare = service->second.longShare;
+    options.maximumQueueWait = service->second.maximumQueueWait;
+    options.isUnlimited = options.isUnlimited || service->second.policy == Config::PolicyKind::Naive;
+    return options;
+}
+
+void Guard::announce(Instant now, const Announcement& announcement)
+{
+    const auto& record = announcement.record;
+    auto options = gateOptions(record);
+    std::lock_guard lock(mutex_);
+    auto [entry, isNew] = servers_.try_emplace(record.address, LocalServer{record, now, Admission::Gate(options), {}});
+    auto& server = entry->second;
+    bool isChange = isNew || server.record.state != record.state;
+    server.record = record;
+    server.leaseEnd = now + announcement.lease;
+    server.gate.setOptions(options);
+    bool isLeavingServer = record.state == Wire::ServerState::Draining || record.state == Wire::ServerState::Gone;
+    server.gate.setDraining(isDraining_ || isLeavingServer);
+    if (isChange)
+        context_.timeline.record("server", fmt::format("address={} service={} state={}", record.address.text(), record.service, Support::nameOf(Wire::serverStateNames, record.state)));
+}
+
+std::vector<Wire::ServerRecord> Guard::records() const
+{
+    std::lock_guard lock(mutex_);
+    std::vector<Wire::ServerRecord> records;
+    for (const auto& [address, server] : servers_) {
+        if (server.record.state != Wire::ServerState::Gone && records.size() < Wire::maximumServersPerMember)
+            records.push_back(server.record);
+    }
+    return records;
+}
+
+void Guard::drainAll()
+{
+    std::lock_guard lock(mutex_);
+    isDraining_ = true;
+    for (auto& [address, server] : servers_)
+        server.gate.setDraining(true);
+}
+
+void Guard::wake(LocalServer& server, const std::vector<Admission::Resolution>& resolutions)
+{
+    for (const auto& resolution : resolutions) {
+        auto waiter = server.waiters.find(resolution.ticket);
+        if (waiter == server.waiters.end())
+            continue;
+        waiter->second->decision = resolution.decision;
+        waiter->second->resolved.notify_one();
+    }
+}
+
+void Guard::tick(Instant now)
+{
+    std::lock_guard lock(mutex_);
+    attempts_.tick(now);
+    for (auto& [address, server] : servers_) {
+        server.gate.setOptions(gateOptions(server.record));
+        wake(server, server.gate.tick(now));
+        if (server.record.state == Wire::ServerState::Gone || now < server.leaseEnd)
+            continue;
+        server.record.state = Wire::ServerState::Gone;
+        server.gate.setDraining(true);
+        context_.timeline.record("server", fmt::format("address={} service={} state=gone reason=lease-expired", address.text(), server.record.service));
+    }
+    std::erase_if(servers_, [&](const auto& entry) {
+        const auto& server = entry.second;
+        constexpr Duration forgetAfter = std::chrono::seconds(60);
+        return server.record.state == Wire::ServerState::Gone && now >= server.leaseEnd + forgetAfter && server.waiters.empty() && server.gate.load(now).running == 0;
+    });
+}
+
+std::optional<Guard::Call> Guard::readCall(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    auto attempt = Wire::parseAttemptId(request.get(Wire::attemptHeader, ""));
+    auto server = Support::parseEndpoint(request.get(Wire::serverHeader, ""));
+    if (!attempt || !server) {
+        context_.metrics.add("balsam_guard_malformed_total");
+        sendNotRun(response, HTTPResponse::HTTP_BAD_REQUEST, "malformed-attempt", Duration::zero(), true);
+        return std::nullopt;
+    }
+    if (request.get(Wire::guardHeader, "") != std::to_string(context_.incarnation)) {
+        sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "guard-restarted", Duration::zero(), true);
+        return std::nullopt;
+    }
+    auto now = monotonicNow();
+    Call call;
+    call.attempt = *attempt;
+    call.server = *server;
+    call.isAtMostOnce = request.has(Wire::atMostOnceHeader);
+    call.holdsBody = request.has(Wire::holdBodyHeader);
+    call.ticket.route = request.get(Wire::routeHeader, "");
+    call.ticket.caller = request.get(Wire::callerHeader, "");
+    call.ticket.hint = laneHintOf(request.get(Wire::workClassHeader, ""));
+    call.ticket.depth = static_cast<unsigned>(numberHeader(request, Wire::depthHeader, 0, maximumDepth));
+    call.ticket.priority = static_cast<unsigned>(numberHeader(request, Wire::priorityHeader, Config::Route::defaultPriority, Config::Route::lowestPriority));
+    call.ticket.deadline = now + Duration(numberHeader(request, Wire::remainingHeader, defaultRemaining.count(), maximumRemaining.count()));
+    call.body = std::make_unique<RequestBody>(request);
+    return call;
+}
+
+Admission::Decision Guard::admit(Call& call, HTTPServerRequest& request)
+{
+    std::unique_lock lock(mutex_);
+    auto found = servers_.find(call.server);
+    if (found == servers_.end())
+        return Admission::Refused{Admission::RefusalReason::Draining, {}};
+    auto& server = found->second;
+    call.ticket.id = nextTicket_++;
+    auto decision = server.gate.offer(monotonicNow(), call.ticket);
+    if (!std::holds_alternative<Admission::Queued>(decision))
+        return decision;
+
+    // Servers with waiters are never erased, so the reference stays good while the lock is released.
+    Waiter waiter;
+    server.waiters[call.ticket.id] = &waiter;
+    bool hasLeft = false;
+    while (!waiter.decision && !hasLeft) {
+        waiter.resolved.wait_for(lock, waitSlice);
+        hasLeft = !waiter.decision && hasClosed(socketOf(request));
+    }
+    server.waiters.erase(call.ticket.id);
+    if (waiter.decision)
+        return *waiter.decision;
+    server.gate.cancel(call.ticket.id);
+    return Admission::Refused{Admission::RefusalReason::WaitedTooLong, {}};
+}
+
+void Guard::setStamp(const Call& call, HTTPServerResponse& response)
+{
+    std::lock_guard lock(mutex_);
+    auto found = servers_.find(call.server);
+    if (found == servers_.end())
+        return;
+    auto load = found->second.gate.load(monotonicNow());
+    Wire::LoadStamp stamp{load.running, load.queued, load.limit, static_cast<std::uint32_t>(load.expectedWait.count())};
+    response.set(Wire::loadHeader, stamp.text());
+}
+
+void Guard::refuse(const Call& call, HTTPServerRequest& request, HTTPServerResponse& response, const Admission::Refused& refusal)
+{
+    std::string reason(Support::nameOf(Admission::refusalReasonNames, refusal.reason));
+    context_.metrics.add(fmt::format("balsam_guard_refused_total{{reason=\"{}\"}}", reason));
+    setStamp(call, response);
+    bool isBodyUnread = !call.holdsBody && (request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0));
+    sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, refusal.expectedWait, isBodyUnread);
+}
+
+void Guard::finish(Call& call, bool hasSucceeded)
+{
+    std::lock_guard lock(mutex_);
+    auto found = servers_.find(call.server);
+    if (found != servers_.end())
+        wake(found->second, found->second.gate.finish(monotonicNow(), call.ticket.id, hasSucceeded));
+}
+
+bool Guard::dispatch(const Call& call)
+{
+    std::lock_guard lock(mutex_);
+    return attempts_.dispatch(monotonicNow(), call.attempt);
+}
+
+void Guard::run(Call& call, HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    if (call.holdsBody)
+        response.sendContinue();
+    else if (auto error = call.body->readFirst()) {
+        // The entry was cut off while it sent the body; the server has seen nothing.
+        finish(call, false);
+        std::lock_guard lock(mutex_);
+        attempts_.refuse(call.attempt);
+        return;
+    }
+    if (!dispatch(call)) {
+        finish(call, false);
+        return refuse(call, request, response, {Admission::RefusalReason::DeadlineTooNear, {}});
+    }
+    HTTPRequest outgoing(request.getMethod(), request.getURI(), HTTPRequest::HTTP_1_1);
+    copyHeaders(request, outgoing);
+    auto remaining = call.ticket.deadline - monotonicNow();
+    outgoing.set(Wire::callHeader, request.get(Wire::callHeader, ""));
+    outgoing.set(Wire::depthHeader, std::to_string(call.ticket.depth + 1));
+    outgoing.set(Wire::remainingHeader, std::to_string(remaining.count()));
+
+    Exchange exchange(context_.pool, {.target = call.server, .deadline = call.ticket.deadline, .isFreshConnection = call.isAtMostOnce, .caller = &socketOf(request)});
+    HTTPResponse answer;
+    auto error = exchange.start(outgoing, *call.body, answer);
+    finish(call, !error && answer.getStatus() < firstServerError);
+    if (error) {
+        std::lock_guard lock(mutex_);
+        if (error == ExchangeError::Unreachable)
+            attempts_.withdraw(call.attempt);
+        else
+            attempts_.lose(call.attempt);
+    }
+    if (error == ExchangeError::CallerLeft)
+        return;
+    if (error == ExchangeError::Unreachable)
+        return sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "server-unreachable", Duration::zero(), false);
+    if (error)
+        return sendUnknown(response, error.message());
+    response.set(Wire::outcomeHeader, outcomeName(Wire::Outcome::Ran));
+    response.set(Wire::serverHeader, call.server.text());
+    setStamp(call, response);
+    relayAnswer(exchange, answer, request, response);
+    std::lock_guard lock(mutex_);
+    attempts_.finish(call.attempt, {});
+}
+
+void Guard::handle(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    InFlight::Scope scope(context_.inFlight);
+    auto call = readCall(request, response);
+    if (!call)
+        return;
+    {
+        std::unique_lock lock(mutex_);
+        if (!attempts_.offer(monotonicNow(), call->attempt, call->ticket.deadline)) {
+            lock.unlock();
+            context_.metrics.add("balsam_guard_duplicates_total");
+            return sendUnknown(response, "duplicate attempt");
+        }
+    }
+    auto decision = admit(*call, request);
+    if (const auto* refused = std::get_if<Admission::Refused>(&decision)) {
+        {
+            std::lock_guard lock(mutex_);
+            attempts_.refuse(call->attempt);
+        }
+        return refuse(*call, request, response, *refused);
+    }
+    run(*call, request, response);
+}
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/lib/Standins/FakeServer.cpp
@@ -0,0 +1,282 @@
+#include "balsamreel/Standins/FakeServer.h"
+
+#include "balsamreel/Support/Log.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/NetException.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <ostream>
+#include <sstream>
+
+namespace balsamreel::Standins {
+
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using Support::Duration;
+using Support::monotonicNow;
+using Support::queryValue;
+using Support::sendText;
+
+namespace {
+
+constexpr Duration announceInterval = std::chrono::milliseconds(500);
+constexpr int announceLeaseMillis = 2000;
+constexpr Duration workSlice = std::chrono::milliseconds(5);
+constexpr Duration noisePeriod = std::chrono::milliseconds(400);
+constexpr double coldFactor = 3;
+constexpr unsigned announcedConnections = 250;
+constexpr const char* idHeader = "X-Test-Id";
+
+std::uint64_t numberOr(const std::string& text, std::uint64_t fallback)
+{
+    std::uint64_t number = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc() && end == text.data() + text.size() ? number : fallback;
+}
+
+bool hasCallerLeft(HTTPServerRequest& request)
+{
+    auto& socket = static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+    try {
+        char byte = 0;
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && socket.receiveBytes(&byte, 1, MSG_PEEK) <= 0;
+    } catch (const Poco::Exception&) {
+        return true;
+    }
+}
+
+// A body whose every byte depends on the id, so that a mixed-up or cut answer shows.
+void writePattern(std::ostream& stream, const std::string& id, std::uint64_t bytes)
+{
+    constexpr std::size_t blockBytes = 64 * 1024;
+    std::string block;
+    while (block.size() < std::min<std::uint64_t>(bytes, blockBytes))
+        block += id + "\n";
+    for (std::uint64_t written = 0; written < bytes;) {
+        // Whole repeats only, so that the pattern goes on across blocks.
+        std::uint64_t count = std::min<std::uint64_t>(bytes - written, block.size());
+        stream.write(block.data(), static_cast<std::streamsize>(count));
+        written += count;
+    }
+}
+
+} // namespace
+
+FakeServer::FakeServer(FakeServerOptions options)
+    : options_(std::move(options))
+    , startedAt_(monotonicNow())
+    , random_(options_.seed)
+    , http_(options_.listen, [this](auto& request, auto& response) { handle(request, response); })
+{
+}
+
+FakeServer::~FakeServer()
+{
+    isEnding_ = true;
+    if (announcer_.joinable())
+        announcer_.join();
+    if (noise_.joinable())
+        noise_.join();
+    http_.abort();
+}
+
+void FakeServer::start()
+{
+    http_.start();
+    announcer_ = std::thread([this] { announceLoop(); });
+    noise_ = std::thread([this] { noiseLoop(); });
+}
+
+void FakeServer::drain()
+{
+    isDraining_ = true;
+    announce("draining");
+    while (true) {
+        {
+            std::lock_guard lock(mutex_);
+            if (busy_ == 0 && waiting_ == 0)
+                break;
+        }
+        std::this_thread::sleep_for(workSlice);
+    }
+    announce("gone");
+}
+
+bool FakeServer::announce(const std::string& state)
+{
+    Poco::JSON::Object root;
+    root.set("service", options_.service);
+    root.set("address", options_.listen.text());
+    root.set("slots", options_.slots);
+    root.set("connections", announcedConnections);
+    root.set("state", state);
+    root.set("health", "/health");
+    root.set("load", "/load");
+    root.set("lease_ms", announceLeaseMillis);
+    std::ostringstream body;
+    root.stringify(body);
+    try {
+        Poco::Net::HTTPClientSession session(options_.nodeAdmin.host, options_.nodeAdmin.port);
+        session.setTimeout(Poco::Timespan(1, 0));
+        Poco::Net::HTTPRequest request("POST", "/v1/announce", "HTTP/1.1");
+        request.setContentLength(static_cast<std::streamsize>(body.str().size()));
+        session.sendRequest(request) << body.str();
+        HTTPResponse response;
+        session.receiveResponse(response);
+        return response.getStatus() == HTTPResponse::HTTP_OK;
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+}
+
+void FakeServer::announceLoop()
+{
+    auto next = monotonicNow();
+    while (!isEnding_) {
+        if (monotonicNow() >= next) {
+            bool isCold = monotonicNow() - startedAt_ < options_.coldTime;
+            announce(isDraining_ ? "draining" : isCold ? "cold"
+                                                       : "ready");
+            next = monotonicNow() + announceInterval;
+        }
+        std::this_thread::sleep_for(workSlice);
+    }
+}
+
+void FakeServer::noiseLoop()
+{
+    Support::Random random(options_.seed + 1);
+    while (!isEnding_) {
+        isNoisy_ = options_.noiseShare > 0 && random.fraction() < options_.noiseShare;
+        auto until = monotonicNow() + noisePeriod;
+        while (!isEnding_ && monotonicNow() < until)
+            std::this_thread::sleep_for(workSlice);
+    }
+}
+
+Duration FakeServer::workTimeOf(const HTTPServerRequest& request)
+{
+    auto mean = numberOr(request.get("X-Test-Work-Us", ""), static_cast<std::uint64_t>(options_.workTime.count()));
+    std::lock_guard lock(mutex_);
+    // Half fixed, half exponential: service times vary, but none is free.
+    double micros = static_cast<double>(mean) / 2 + random_.exponential(std::max(1.0, static_cast<double>(mean) / 2));
+    micros *= faults_.slowFactor * (isNoisy_ ? options_.noiseFactor : 1);
+    if (monotonicNow() - startedAt_ < options_.coldTime)
+        micros *= coldFactor;
+    return Duration(static_cast<Duration::rep>(micros));
+}
+
+bool FakeServer::work(Duration duration, const std::function<bool()>& isCancelled)
+{
+    auto until = monotonicNow() + duration;
+    while (monotonicNow() < until) {
+        std::this_thread::sleep_for(std::min(workSlice, until - monotonicNow()));
+        if (until - monotonicNow() > workSlice && isCancelled())
+            return false;
+    }
+    return true;
+}
+
+void FakeServer::handle(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    auto path = Support::pathOf(request.getURI());
+    if (path == "/health")
+        return sendText(response, HTTPResponse::HTTP_OK, "text/plain", "ok\n");
+    if (path == "/load")
+        return handleLoad(response);
+    if (path == "/control")
+        return handleControl(request, response);
+    if (path == "/executions")
+        return handleExecutions(response);
+    handleWork(request, response);
+}
+
+void FakeServer::handleWork(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    auto id = request.get(idHeader, "-");
+    std::uint64_t bodyBytes = 0;
+    std::string chunk(64 * 1024, '\0');
+    while (request.stream().read(chunk.data(), static_cast<std::streamsize>(chunk.size())) || request.stream().gcount() > 0)
+        bodyBytes += static_cast<std::uint64_t>(request.stream().gcount());
+    if (request.hasContentLength() && static_cast<std::uint64_t>(request.getContentLength64()) != bodyBytes)
+        return;
+
+    auto duration = workTimeOf(request);
+    bool isSilent = false;
+    {
+        std::unique_lock lock(mutex_);
+        if (faults_.failsFast)
+            return sendText(response, HTTPResponse::HTTP_INTERNAL_SERVER_ERROR, "text/plain", "failing fast\n");
+        ++waiting_;
+        slotFree_.wait(lock, [&] { return busy_ < options_.slots; });
+        --waiting_;
+        ++busy_;
+        ++executions_[id];
+        isSilent = faults_.isSilent;
+    }
+    auto isCancelled = [&] { return hasCallerLeft(request); };
+    bool isDone = work(isSilent ? std::chrono::hours(1) : duration, isCancelled);
+    {
+        std::lock_guard lock(mutex_);
+        --busy_;
+        cancelled_ += isDone ? 0 : 1;
+        slotFree_.notify_one();
+    }
+    if (!isDone)
+        return;
+    auto bytes = numberOr(request.get("X-Test-Bytes", ""), id.size());
+    response.set(idHeader, id);
+    response.set("X-Test-Received", std::to_string(bodyBytes));
+    response.setContentType("text/plain");
+    response.setContentLength64(static_cast<Poco::Int64>(bytes));
+    writePattern(response.send(), id, bytes);
+}
+
+void FakeServer::handleControl(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    const auto& uri = request.getURI();
+    std::lock_guard lock(mutex_);
+    faults_.slowFactor = std::strtod(queryValue(uri, "slow", fmt::format("{}", faults_.slowFactor)).c_str(), nullptr);
+    faults_.failsFast = queryValue(uri, "fail_fast", faults_.failsFast ? "1" : "0") == "1";
+    faults_.isSilent = queryValue(uri, "silent", faults_.isSilent ? "1" : "0") == "1";
+    if (queryValue(uri, "drain") == "1" && !isDraining_.exchange(true))
+        std::thread([this] { announce("draining"); }).detach();
+    if (queryValue(uri, "undrain") == "1")
+        isDraining_ = false;
+    sendText(response, HTTPResponse::HTTP_OK, "text/plain", "ok\n");
+}
+
+void FakeServer::handleExecutions(HTTPServerResponse& response)
+{
+    std::string text;
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& [id, count] : executions_)
+            text += fmt::format("{} {}\n", id, count);
+    }
+    sendText(response, HTTPResponse::HTTP_OK, "text/plain", text);
+}
+
+void FakeServer::handleLoad(HTTPServerResponse& response)
+{
+    std::string text;
+    {
+        std::lock_guard lock(mutex_);
+        if (monotonicNow() - loadTakenAt_ >= options_.loadLag) {
+            laggedLoad_ = busy_ + waiting_;
+            loadTakenAt_ = monotonicNow();
+        }
+        text = fmt::format("{{\"busy\":{},\"slots\":{},\"cancelled\":{}}}\n", laggedLoad_, options_.slots, cancelled_);
+    }
+    sendText(response, HTTPResponse::HTTP_OK, "application/json", text);
+}
+
+} // namespace balsamreel::Standins
--- /dev/null
+++ b/lib/Store/Errors.cpp
@@ -0,0 +1,40 @@
+#include "balsamreel/Store/Errors.h"
+
+namespace balsamreel::Store {
+
+namespace {
+
+class StoreCategory : public std::error_category {
+public:
+    const char* name() const noexcept override { return "store"; }
+    std::string message(int value) const override
+    {
+        switch (static_cast<StoreError>(value)) {
+        case StoreError::NotFound:
+            return "no such object";
+        case StoreError::VersionConflict:
+            return "the object has changed since it was read";
+        case StoreError::Unavailable:
+            return "the object store did not take the call";
+        case StoreError::OutcomeUnknown:
+            return "the answer was lost; the update may have taken effect";
+        case StoreError::TooLarge:
+            return "the value is larger than the object store takes";
+        case StoreError::BudgetSpent:
+            return "the budget of store calls is used up";
+        case StoreError::Malformed:
+            return "the object store's answer could not be understood";
+        }
+        return "unknown store error";
+    }
+};
+
+} // namespace
+
+std::error_code make_error_code(StoreError error)
+{
+    static const StoreCategory category;
+    return {static_cast<int>(error), category};
+}
+
+} // namespace balsamreel::Store
--- /dev/null
+++ b/lib/Support/Endpoint.cpp
@@ -0,0 +1,50 @@
+#include "balsamreel/Support/Endpoint.h"
+
+#include <Poco/Net/IPAddress.h>
+
+#include <charconv>
+
+namespace balsamreel::Support {
+
+std::string Endpoint::text() const
+{
+    bool isV6 = host.find(':') != std::string::npos;
+    return (isV6 ? "[" + host + "]" : host) + ":" + std::to_string(port);
+}
+
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+
+    Endpoint endpoint;
+    auto portText = text.substr(colon + 1);
+    auto [end, error] = std::from_chars(portText.data(), portText.data() + portText.size(), endpoint.port);
+    if (error != std::errc() || end != portText.data() + portText.size() || portText.empty())
+        return std::nullopt;
+    Poco::Net::IPAddress address;
+    if (!Poco::Net::IPAddress::tryParse(std::string(host), address))
+        return std::nullopt;
+    endpoint.host = address.toString();
+    return endpoint;
+}
+
+std::optional<std::vector<Endpoint>> parseEndpoints(std::string_view text)
+{
+    std::vector<Endpoint> endpoints;
+    while (!text.empty()) {
+        auto comma = text.find(',');
+        auto endpoint = parseEndpoint(text.substr(0, comma));
+        if (!endpoint)
+            return std::nullopt;
+        endpoints.push_back(*endpoint);
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    return endpoints;
+}
+
+} // namespace balsamreel::Support
--- /dev/null
+++ b/lib/Support/Signals.cpp
@@ -0,0 +1,36 @@
+#include "balsamreel/Support/Signals.h"
+
+#include <csignal>
+#include <pthread.h>
+
+namespace balsamreel::Support {
+
+namespace {
+
+sigset_t endSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    return set;
+}
+
+} // namespace
+
+void blockEndSignals()
+{
+    auto set = endSignals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int waitForEndSignal()
+{
+    auto set = endSignals();
+    int number = 0;
+    sigwait(&set, &number);
+    return number;
+}
+
+} // namespace balsamreel::Support
--- /dev/null
+++ b/tools/fake-server/main.cpp
@@ -0,0 +1,48 @@
+// fake-server: the stand-in for a users' server.
+#include "balsamreel/Standins/FakeServer.h"
+#include "balsamreel/Support/Log.h"
+#include "balsamreel/Support/Settings.h"
+#include "balsamreel/Support/Signals.h"
+
+#include <Poco/Exception.h>
+
+using namespace balsamreel;
+using Support::SettingKind;
+
+int main(int argumentCount, char** arguments)
+{
+    Support::blockEndSignals();
+    std::vector<Support::SettingSpec> specs{
+        {.flag = "listen", .environment = "FAKE_SERVER_LISTEN", .kind = SettingKind::Endpoint, .help = "address to listen on", .isRequired = true},
+        {.flag = "node", .environment = "FAKE_SERVER_NODE", .kind = SettingKind::Endpoint, .help = "admin address of the node to announce to", .isRequired = true},
+        {.flag = "service", .environment = "FAKE_SERVER_SERVICE", .help = "service it belongs to", .isRequired = true},
+        {.flag = "slots", .environment = "FAKE_SERVER_SLOTS", .kind = SettingKind::Integer, .fallback = "9", .minimum = 1, .maximum = 1000, .help = "calls it works on at once"},
+        {.flag = "work-us", .environment = "FAKE_SERVER_WORK_US", .kind = SettingKind::Integer, .fallback = "4000", .minimum = 0, .maximum = 1e9, .unit = "microseconds", .help = "mean work time of a call that names none"},
+        {.flag = "cold-ms", .environment = "FAKE_SERVER_COLD_MS", .kind = SettingKind::Integer, .fallback = "0", .minimum = 0, .maximum = 1e6, .unit = "milliseconds", .help = "time during which it works slower after its start"},
+        {.flag = "noise", .environment = "FAKE_SERVER_NOISE", .kind = SettingKind::Real, .fallback = "0", .minimum = 0, .maximum = 1, .help = "share of time in which a neighbour slows it down"},
+        {.flag = "noise-factor", .environment = "FAKE_SERVER_NOISE_FACTOR", .kind = SettingKind::Real, .fallback = "4", .minimum = 1, .maximum = 100, .help = "how much slower it is then"},
+        {.flag = "seed", .environment = "FAKE_SERVER_SEED", .kind = SettingKind::Integer, .fallback = "1", .minimum = 0, .maximum = 1e9, .help = "seed of work times and noise"},
+    };
+    auto settings = Support::readSettings({"fake-server", "A stand-in for a server that announces itself to its node.", ""}, specs, argumentCount, const_cast<const char**>(arguments));
+    Support::setLogSource("fake-server/" + settings.endpoint("listen").text());
+    Standins::FakeServerOptions options;
+    options.listen = settings.endpoint("listen");
+    options.nodeAdmin = settings.endpoint("node");
+    options.service = settings.text("service");
+    options.slots = static_cast<unsigned>(settings.integer("slots"));
+    options.workTime = Support::Duration(settings.integer("work-us"));
+    options.coldTime = std::chrono::milliseconds(settings.integer("cold-ms"));
+    options.noiseShare = settings.real("noise");
+    options.noiseFactor = settings.real("noise-factor");
+    options.seed = static_cast<std::uint64_t>(settings.integer("seed"));
+    try {
+        Standins::FakeServer server(options);
+        server.start();
+        Support::waitForEndSignal();
+        server.drain();
+    } catch (const Poco::Exception& error) {
+        Support::log(Support::LogLevel::Error, "failed", "error=\"{}\"", error.displayText());
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/unittests/Admission/GateTest.cpp
@@ -0,0 +1,63 @@
+// The gate: slots, lanes, queue and refusal.
+#include "balsamreel/Admission/Gate.h"
+
+#include <gtest/gtest.h>
+
+namespace balsamreel::Admission {
+namespace {
+
+using namespace std::chrono_literals;
+const Support::Instant start{};
+
+Ticket ticket(std::uint64_t id, LaneHint hint = LaneHint::Short)
+{
+    Ticket ticket;
+    ticket.id = id;
+    ticket.route = hint == LaneHint::Long ? "long" : "short";
+    ticket.hint = hint;
+    ticket.deadline = start + 10s;
+    return ticket;
+}
+
+TEST(Gate, RunsUpToItsSlotsAndQueuesTheRest)
+{
+    Gate gate({.slots = 2});
+    EXPECT_TRUE(std::holds_alternative<Admitted>(gate.offer(start, ticket(1))));
+    EXPECT_TRUE(std::holds_alternative<Admitted>(gate.offer(start, ticket(2))));
+    EXPECT_TRUE(std::holds_alternative<Queued>(gate.offer(start, ticket(3))));
+    auto resolved = gate.finish(start + 1ms, 1, true);
+    ASSERT_EQ(resolved.size(), 1U);
+    EXPECT_EQ(resolved[0].ticket, 3U);
+}
+
+TEST(Gate, LongWorkLeavesSlotsForShortWork)
+{
+    Gate gate({.slots = 4, .longShare = 0.5});
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        gate.offer(start, ticket(id, LaneHint::Long));
+    EXPECT_EQ(gate.load(start).running, 2U);
+    EXPECT_TRUE(std::holds_alternative<Admitted>(gate.offer(start, ticket(5))));
+}
+
+TEST(Gate, ADrainedGateRefusesNewWorkAndFinishesTheOld)
+{
+    Gate gate({.slots = 1});
+    gate.offer(start, ticket(1));
+    gate.offer(start, ticket(2));
+    gate.setDraining(true);
+    EXPECT_TRUE(std::holds_alternative<Refused>(gate.offer(start, ticket(3))));
+    EXPECT_EQ(gate.finish(start, 1, true).size(), 1U);
+}
+
+TEST(Gate, WhatWaitsTooLongIsRefused)
+{
+    Gate gate({.slots = 1, .maximumQueueWait = 100ms});
+    gate.offer(start, ticket(1));
+    gate.offer(start, ticket(2));
+    auto resolved = gate.tick(start + 200ms);
+    ASSERT_EQ(resolved.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<Refused>(resolved[0].decision));
+}
+
+} // namespace
+} // namespace balsamreel::Admission
--- /dev/null
+++ b/unittests/Once/AttemptTableTest.cpp
@@ -0,0 +1,68 @@
+// Attempts at a guard: no state lets one run twice, and a revoked one never runs.
+#include "balsamreel/Once/AttemptTable.h"
+
+#include <gtest/gtest.h>
+
+namespace balsamreel::Once {
+namespace {
+
+using namespace std::chrono_literals;
+const Support::Instant start{};
+const Wire::AttemptId id{1, 1};
+
+TEST(AttemptTable, ACopyIsNotTakenAgain)
+{
+    AttemptTable table;
+    EXPECT_TRUE(table.offer(start, id, start + 1s));
+    EXPECT_FALSE(table.offer(start, id, start + 1s));
+    EXPECT_TRUE(table.dispatch(start, id));
+    EXPECT_FALSE(table.dispatch(start, id));
+}
+
+TEST(AttemptTable, ARevokedAttemptThatArrivesLateIsRefused)
+{
+    AttemptTable table;
+    EXPECT_EQ(table.revoke(start, id, start + 1s), AttemptState::Revoked);
+    EXPECT_FALSE(table.offer(start, id, start + 1s));
+    EXPECT_FALSE(table.dispatch(start, id));
+    table.tick(start + 30s);
+    EXPECT_EQ(table.state(id), AttemptState::Revoked);
+}
+
+TEST(AttemptTable, RevokingDispatchedWorkChangesNothing)
+{
+    AttemptTable table;
+    table.offer(start, id, start + 1s);
+    table.dispatch(start, id);
+    EXPECT_EQ(table.revoke(start, id, start + 1s), AttemptState::Dispatched);
+    table.finish(id, {200, {}, "answer"});
+    ASSERT_TRUE(table.answer(id));
+    EXPECT_EQ(table.answer(id)->body, "answer");
+}
+
+TEST(AttemptTable, NothingIsDispatchedPastItsDeadline)
+{
+    AttemptTable table;
+    table.offer(start, id, start + 1s);
+    EXPECT_FALSE(table.dispatch(start + 1s, id));
+    EXPECT_EQ(table.state(id), AttemptState::Refused);
+}
+
+TEST(AttemptTable, RetainedBytesAreBoundedAndReturned)
+{
+    AttemptTable table({.retention = 1s, .maximumRetainedBytes = 10, .maximumAnswerBytes = 8});
+    for (std::uint64_t counter = 0; counter < 3; ++counter) {
+        Wire::AttemptId attempt{1, counter};
+        table.offer(start, attempt, start + 1s);
+        table.dispatch(start, attempt);
+        table.finish(attempt, {200, {}, std::string(5, 'x')});
+    }
+    EXPECT_EQ(table.retainedBytes(), 10U);
+    EXPECT_FALSE(table.answer({1, 2}));
+    table.tick(start + 5s);
+    EXPECT_EQ(table.retainedBytes(), 0U);
+    EXPECT_EQ(table.size(), 0U);
+}
+
+} // namespace
+} // namespace balsamreel::Once
--- /dev/null
+++ b/unittests/Wire/MessagesTest.cpp
@@ -0,0 +1,64 @@
+// Messages: round trips, and decoding of bytes that are not messages.
+#include "balsamreel/Wire/Messages.h"
+#include "balsamreel/Wire/Errors.h"
+#include "balsamreel/Wire/Headers.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace balsamreel::Wire {
+namespace {
+
+Message sampleMessage()
+{
+    MemberRecord record;
+    record.node = "a-1";
+    record.incarnation = 7;
+    record.peer = {"127.0.0.1", 9};
+    record.servers.push_back({"catalog", {"127.0.0.1", 10}, 9, ServerState::Ready});
+    return {{"a-0", {5, 1}, 3}, Ping{4, "a-1"}, {record}};
+}
+
+TEST(Messages, SurviveTheRoundTrip)
+{
+    auto bytes = encode(sampleMessage());
+    Message decoded;
+    ASSERT_FALSE(decode(bytes, decoded));
+    EXPECT_EQ(decoded.updates, sampleMessage().updates);
+    EXPECT_EQ(std::get<Ping>(decoded.payload).target, "a-1");
+    EXPECT_EQ(decoded.envelope.generation, 3U);
+}
+
+TEST(Messages, EveryTruncationIsAnError)
+{
+    auto bytes = encode(sampleMessage());
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        Message decoded;
+        EXPECT_TRUE(decode({bytes.data(), size}, decoded)) << size;
+    }
+}
+
+TEST(Messages, GarbageNeverThrowsNorTakesMemory)
+{
+    EXPECT_TRUE(rc::check([](std::vector<std::uint8_t> bytes) {
+        if (!bytes.empty() && bytes[0] % 2 == 0)
+            bytes[0] = protocolVersion;
+        Message decoded;
+        (void)decode(bytes, decoded);
+    }));
+}
+
+TEST(Headers, LoadStampAndAttemptIdRoundTrip)
+{
+    LoadStamp stamp{1, 2, 3, 4};
+    EXPECT_EQ(parseLoadStamp(stamp.text()), stamp);
+    AttemptId id{255, 16};
+    EXPECT_EQ(parseAttemptId(id.text()), id);
+    for (const char* bad : {"", "1/2/3", "1/2/3/4/5", "a/2/3/4", "1/2/3/-4"})
+        EXPECT_FALSE(parseLoadStamp(bad)) << bad;
+    for (const char* bad : {"", "-", "1-", "-1", "1-x", "11111111111111111-1"})
+        EXPECT_FALSE(parseAttemptId(bad)) << bad;
+}
+
+} // namespace
+} // namespace balsamreel::Wire
--- /dev/null
+++ b/utils/common.sh
@@ -0,0 +1,115 @@
+# Shared by the scripts beside it: starts and ends programs on loopback.
+# Sourced, not run. The caller sets BIN to the folder of the programs.
+
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+BIN=${BIN:-$ROOT/build/release/bin}
+RUN_DIR=${RUN_DIR:-$(mktemp -d)}
+PIDS=()
+
+# Ends what this script started, and nothing else.
+end_all() {
+    local pid
+    for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null; done
+    for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null; done
+    PIDS=()
+}
+
+# start NAME PROGRAM ARGS...: runs a program in the background, its log in RUN_DIR/NAME.log.
+start() {
+    local name=$1
+    shift
+    "$@" >"$RUN_DIR/$name.log" 2>&1 &
+    LAST_PID=$!
+    PIDS+=("$LAST_PID")
+}
+
+# wait_for SECONDS COMMAND...: repeats the command until it succeeds.
+wait_for() {
+    local end=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ $SECONDS -ge $end ] && return 1
+        sleep 0.1
+    done
+}
+
+http_get() { curl -fsS --max-time 5 "$1"; }
+
+# Ports of a deployment with base B: store B, entries B+100+i, peers B+200+i, admins B+300+i, servers B+400+i.
+entry_of() { echo "127.0.0.1:$(($1 + 100 + $2))"; }
+peer_of() { echo "127.0.0.1:$(($1 + 200 + $2))"; }
+admin_of() { echo "127.0.0.1:$(($1 + 300 + $2))"; }
+server_of() { echo "127.0.0.1:$(($1 + 400 + $2))"; }
+
+# list_of FUNCTION BASE COUNT: addresses joined by commas.
+list_of() {
+    local list="" i
+    for ((i = 0; i < $3; i++)); do list+="$($1 "$2" "$i"),"; done
+    echo "${list%,}"
+}
+
+start_store() { # BASE
+    start "store-$1" "$BIN/fake-store" --listen "127.0.0.1:$1"
+    wait_for 10 http_get "http://127.0.0.1:$1/v1/stats"
+}
+
+# start_node BASE INDEX DEPLOYMENT DOMAIN [options of balsamd]
+start_node() {
+    local base=$1 index=$2 deployment=$3 domain=$4
+    shift 4
+    start "$deployment-node-$index" "$BIN/balsamd" --node "$deployment-$index" --domain "$domain" --region "$deployment" \
+        --deployment "$deployment" --listen "$(entry_of "$base" "$index")" --peer "$(peer_of "$base" "$index")" \
+        --admin "$(admin_of "$base" "$index")" --store "127.0.0.1:$base" --seeds "$(list_of peer_of "$base" 3)" "$@"
+}
+
+# start_server BASE INDEX DEPLOYMENT SERVICE SLOTS [options of fake-server]
+start_server() {
+    local base=$1 index=$2 deployment=$3 service=$4 slots=$5
+    shift 5
+    start "$deployment-server-$index" "$BIN/fake-server" --listen "$(server_of "$base" "$index")" --node "$(admin_of "$base" "$index")" \
+        --service "$service" --slots "$slots" --seed "$index" "$@"
+}
+
+# start_deployment BASE DEPLOYMENT SLOTS DOMAINS "SERVICE:COUNT ..." [options of balsamd]
+# Starts a store, puts the example files into it, and starts a server and a node per index. Sets COUNT.
+start_deployment() {
+    local base=$1 deployment=$2 slots=$3 domains=$4 services=$5 index=0 pair file
+    shift 5
+    start_store "$base" || return 1
+    for file in "$ROOT/examples/$deployment"/*.toml; do
+        "$BIN/balsamctl" --store "127.0.0.1:$base" --deployment "$deployment" put "$file" >/dev/null 2>>"$RUN_DIR/put.log"
+    done
+    for pair in $services; do
+        local service=${pair%%:*} count=${pair##*:} i
+        for ((i = 0; i < count; i++)); do
+            start_node "$base" "$index" "$deployment" "$deployment-domain-$((index % domains))" "$@"
+            start_server "$base" "$index" "$deployment" "$service" "$slots" ${SERVER_OPTIONS:-}
+            index=$((index + 1))
+        done
+    done
+    COUNT=$index
+}
+
+start_tengri() { start_deployment "$1" tengri 9 4 "catalog:4 batch:4 metrology:4" "${@:2}"; }
+start_association() { start_deployment "$1" association 20 3 "rulebook:4 plots:4 entries:3" "${@:2}"; }
+
+# all_ready BASE COUNT: every node follows a configuration and sees COUNT members with a ready server each.
+node_ready() {
+    local status
+    status=$(http_get "http://$(admin_of "$1" "$3")/v1/status") || return 1
+    [[ $status != *'"generation":0'* ]] || return 1
+    [ "$(grep -o '"state":"ready"' <<<"$status" | wc -l)" -ge "$2" ]
+}
+all_ready() {
+    local i
+    for ((i = 0; i < $2; i++)); do node_ready "$1" "$2" "$i" || return 1; done
+}
+
+# generation_everywhere BASE COUNT GENERATION: every node follows at least this generation.
+generation_everywhere() {
+    local i generation
+    for ((i = 0; i < $2; i++)); do
+        generation=$(http_get "http://$(admin_of "$1" "$i")/v1/status" | grep -o '"generation":[0-9]*') || return 1
+        [ "${generation#*:}" -ge "$3" ] || return 1
+    done
+}
