--- a/lib/Load/Profile.cpp
+++ b/lib/Load/Profile.cpp
@@ -13,6 +13,7 @@
 std::vector<Profile> makeProfiles()
 {
     return {
+        {"idle", std::vector{CallKind{.name = "specs", .path = "/catalog/specs"}}},
         {"steady", {{.name = "specs", .path = "/catalog/specs", .work = milliseconds(4)}}},
         {"tengri",
             {
--- a/lib/Standins/FakeServer.cpp
+++ b/lib/Standins/FakeServer.cpp
@@ -165,6 +165,8 @@
 Duration FakeServer::workTimeOf(const HTTPServerRequest& request)
 {
     auto mean = numberOr(request.get("X-Test-Work-Us", ""), static_cast<std::uint64_t>(options_.workTime.count()));
+    if (mean == 0)
+        return Duration::zero();
     std::lock_guard lock(mutex_);
     // Half fixed, half exponential: service times vary, but none is free.
     double micros = static_cast<double>(mean) / 2 + random_.exponential(std::max(1.0, static_cast<double>(mean) / 2));
