Choose servers by latency relative to the route, near first, with gentle trials

Cause: the score took one mean latency over all routes, so long work looked like a slow server; a server's errors never aged, so after an ejection it was only chosen by accident; a cold server got a full share; attempts that are open for too long told nothing until their answers came.

Change: answers are compared with the median latency of their route over all servers; open attempts count as soon as they are late; what was learned ages towards a middling value, so that a server that was heard of lately goes before one that was not; a suspected server gets one call at a time, twice as many with each good answer, and its next trial doubles in time with each bad one. Two near and two far servers are drawn, and the last far one is looked at again. Cold servers get a share that rises for 10 s. Refusals hold a server back for the wait that its guard names.

--- a/include/balsamreel/Balance/Balancer.h
+++ b/include/balsamreel/Balance/Balancer.h
@@ -1,6 +1,8 @@
 // Which server a call goes to. Pure decisions: time and randomness are passed in or seeded.
 #pragma once
 
+#include "balsamreel/Balance/Health.h"
+#include "balsamreel/Balance/TypicalLatency.h"
 #include "balsamreel/Support/Clock.h"
 #include "balsamreel/Support/Endpoint.h"
 #include "balsamreel/Support/Random.h"
@@ -51,26 +53,47 @@
     AttemptResult result = AttemptResult::Answered;
     Support::Duration latency{};
     std::optional<Wire::LoadStamp> stamp;
+    std::optional<Support::Instant> startedAt; ///< as given to started(); without it the latency tells
+    std::string route; ///< latencies are compared within a route
+};
+
+/// An attempt that has not ended yet.
+struct OpenAttempt {
+    Support::Instant startedAt;
+    std::string route;
 };
 
 /// One server as this entry knows it.
 struct ServerEntity {
     ServerFacts facts;
     unsigned inFlight = 0; ///< own attempts
+    std::vector<OpenAttempt> open; ///< those that count as inFlight
     Wire::LoadStamp stamp;
     std::optional<Support::Instant> stampedAt;
-    double latencyMicros = 0; ///< smoothed, of answered attempts
-    double errorShare = 0; ///< smoothed share of failed attempts
+    unsigned inFlightAtStamp = 0; ///< own attempts that the stamp counts too
+    Health health;
     std::optional<Support::Instant> ejectedUntil;
-    unsigned ejections = 0; ///< in a row
-    Support::Instant firstSeen;
+    std::optional<Support::Instant> refusedUntil; ///< its guard refused work and named a wait
+    std::optional<Support::Instant> warmingSince; ///< gets a rising share from then on
+    std::optional<Support::Instant> heardAt; ///< last answer or probe reply
+};
+
+/// What an entry knows of one service.
+struct ServiceEntity {
+    std::vector<ServerEntity*> all; ///< that may be chosen
+    std::vector<ServerEntity*> near; ///< in the entry's own failure domain
+    std::vector<ServerEntity*> far;
+    TypicalLatency typical; ///< over all routes
+    std::map<std::string, TypicalLatency> routes;
+    std::optional<Support::Instant> usedAt; ///< last choice
+    ServerEntity* lastFar = nullptr; ///< the last far server chosen, of which most is known
 };
 
 struct NaivePolicy {
     std::map<std::string, std::size_t> nextIndex; ///< per service
 };
 
-/// Two random choices, the lower score wins.
+/// Two random choices among the near servers and two among the others; the lowest score wins.
 struct BalancedPolicy { };
 
 using Policy = std::variant<BalancedPolicy, NaivePolicy>;
@@ -80,12 +103,15 @@
     ServerId server;
     Support::Endpoint guard;
     std::uint64_t guardIncarnation = 0;
+    Support::Instant chosenAt;
 };
 
 /// The table of servers and the systems that run over it. Not thread-safe.
 class Balancer {
 public:
     Balancer(std::string domain, std::uint64_t seed);
+    Balancer(const Balancer&) = delete;
+    Balancer& operator=(const Balancer&) = delete;
 
     /// Takes over what membership knows; keeps what was learned of servers that stay.
     void update(Support::Instant now, const std::vector<ServerFacts>&);
@@ -93,22 +119,39 @@
     /// Picks a server of the service that is not excluded; nothing if there is none.
     std::optional<Choice> choose(Support::Instant now, const std::string& service, bool isNaive, const std::vector<ServerId>& excluded);
 
-    void started(Support::Instant now, const ServerId&);
+    /// An attempt is sent; its route tells how long it may take before it counts as slow.
+    void started(Support::Instant now, const ServerId&, const std::string& route = {});
     void finished(Support::Instant now, const ServerId&, const Feedback&);
 
+    /// A guard answered a probe; ratio is how slow its server is compared with its own past.
+    void probed(Support::Instant now, const ServerId&, const Wire::LoadStamp&, double ratio);
+
     const std::map<ServerId, ServerEntity>& servers() const { return servers_; }
+    const std::map<std::string, ServiceEntity>& services() const { return services_; }
     bool knowsService(const std::string& service) const { return services_.contains(service); }
 
-    /// Expected wait and cost of one more call on the server; lower is better.
+    /// Expected microseconds until one more call on the server is answered; lower is better.
     double score(Support::Instant now, const ServerEntity&) const;
 
 private:
     struct Chooser;
+    struct Query;
+
+    bool isFit(const Query&, const ServerEntity&) const;
+    ServerEntity* pick(const Query&, const std::vector<ServerEntity*>&);
+    ServerEntity* pickNearFirst(const Query&);
+    ServerEntity* chooseBalanced(Query&);
+    void addToService(Support::Instant now, ServerEntity&, bool isNew);
+    double tripMicros(const ServerFacts&) const;
+    double slowness(Support::Instant now, const ServiceEntity&, const ServerEntity&) const;
+    void learn(Support::Instant now, ServiceEntity&, ServerEntity&, const Feedback&);
 
     std::string domain_;
+    std::string region_; ///< of the servers in this failure domain
     Support::Random random_;
     std::map<ServerId, ServerEntity> servers_;
-    std::map<std::string, std::vector<ServerId>> services_; ///< servers that may be chosen
+    std::map<std::string, ServiceEntity> services_;
+    std::optional<Support::Instant> knowsServersSince_;
     NaivePolicy naive_;
 };
 
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace balsamreel::Balance {
 
@@ -10,17 +11,19 @@
 
 namespace {
 
-constexpr double latencyWeight = 0.2;
-constexpr double errorWeight = 0.2;
-constexpr double ejectionErrorShare = 0.6;
-constexpr Duration firstEjection = std::chrono::milliseconds(500);
-constexpr unsigned maximumEjectionDoublings = 5;
-// A stamp tells less with each of these.
+// What a guard's load stamp tells halves in this time: the calls it counted have ended by then.
 constexpr double stampHalfLifeMicros = 50'000;
-// A trip to another failure domain, in the same unit as the wait.
 constexpr double otherDomainMicros = 1000;
-constexpr double fallbackLatencyMicros = 1000;
-constexpr double errorPenaltyMicros = 100'000;
+constexpr double otherRegionMicros = 20'000;
+constexpr double unknownTypicalMicros = 1000;
+constexpr double failureMicros = 100'000;
+constexpr Duration warmingTime = std::chrono::seconds(10);
+constexpr double firstWarmingShare = 0.1;
+// Servers that are there when the entry starts are not taken for cold.
+constexpr Duration settlingTime = std::chrono::seconds(5);
+constexpr Duration shortestRefusal = std::chrono::milliseconds(5);
+constexpr Duration longestRefusal = std::chrono::seconds(1);
+constexpr double slowAbandonedRatio = 3;
 
 bool isOffered(const ServerFacts& facts)
 {
@@ -32,8 +35,66 @@
     return result == AttemptResult::ServerError || result == AttemptResult::Unreachable || result == AttemptResult::Broken;
 }
 
+double limitOf(const ServerEntity& server)
+{
+    return std::max<double>(1, server.stamp.limit > 0 ? server.stamp.limit : server.facts.slots);
+}
+
+double stampWeight(Instant now, const ServerEntity& server)
+{
+    if (!server.stampedAt)
+        return 0;
+    double age = static_cast<double>(std::max(Duration::zero(), now - *server.stampedAt).count());
+    return std::exp2(-age / stampHalfLifeMicros);
+}
+
+void takeStamp(Instant now, const Wire::LoadStamp& stamp, ServerEntity& server)
+{
+    server.stamp = stamp;
+    server.stampedAt = now;
+    server.inFlightAtStamp = server.inFlight;
+}
+
+// Share of its work that a server gets while it warms up.
+double warmingShare(Instant now, const ServerEntity& server)
+{
+    if (!server.warmingSince)
+        return 1;
+    double elapsed = static_cast<double>((now - *server.warmingSince).count()) / static_cast<double>(warmingTime.count());
+    return std::clamp(elapsed, firstWarmingShare, 1.0);
+}
+
+// False if the attempt belongs to an earlier start of the guard, which tells nothing of this one.
+bool closeAttempt(Instant now, const Feedback& feedback, ServerEntity& server)
+{
+    if (server.open.empty())
+        return false;
+    auto startedAt = feedback.startedAt.value_or(now - feedback.latency);
+    auto distance = [&](const OpenAttempt& attempt) { return std::abs((attempt.startedAt - startedAt).count()); };
+    auto nearest = std::ranges::min_element(server.open, {}, distance);
+    if (feedback.startedAt && nearest->startedAt != startedAt)
+        return false;
+    server.open.erase(nearest);
+    --server.inFlight;
+    return true;
+}
+
+const TypicalLatency* typicalOf(const ServiceEntity& service, const std::string& route)
+{
+    auto found = service.routes.find(route);
+    return found == service.routes.end() ? nullptr : &found->second;
+}
+
 } // namespace
 
+/// What one choice asks for.
+struct Balancer::Query {
+    Instant now;
+    ServiceEntity& service;
+    std::vector<ServerId> excluded;
+    bool takesUnfit = false; ///< ejected and suspected servers too
+};
+
 Balancer::Balancer(std::string domain, std::uint64_t seed)
     : domain_(std::move(domain))
     , random_(seed)
@@ -43,90 +104,215 @@
 void Balancer::update(Instant now, const std::vector<ServerFacts>& facts)
 {
     std::map<ServerId, ServerEntity> next;
-    services_.clear();
     for (const auto& fact : facts) {
+        if (fact.domain == domain_)
+            region_ = fact.region;
         auto known = servers_.find(fact.id);
         bool isSame = known != servers_.end() && known->second.facts.incarnation == fact.incarnation;
         auto& entity = next[fact.id];
         if (isSame)
             entity = std::move(known->second);
-        else
-            entity.firstSeen = now;
         entity.facts = fact;
-        if (isOffered(fact))
-            services_[fact.service].push_back(fact.id);
+    }
+    std::map<std::string, ServiceEntity> services;
+    services.swap(services_);
+    for (auto& [id, entity] : next) {
+        auto& service = services_[entity.facts.service];
+        if (auto old = services.find(entity.facts.service); old != services.end() && service.all.empty()) {
+            service.typical = old->second.typical;
+            service.routes = old->second.routes;
+            service.usedAt = old->second.usedAt;
+        }
+        auto before = servers_.find(id);
+        bool isNew = before == servers_.end() || before->second.facts.incarnation != entity.facts.incarnation;
+        addToService(now, entity, isNew);
     }
     servers_ = std::move(next);
+    if (!knowsServersSince_ && !servers_.empty())
+        knowsServersSince_ = now;
+}
+
+void Balancer::addToService(Instant now, ServerEntity& entity, bool isNew)
+{
+    bool hasSettled = knowsServersSince_ && now - *knowsServersSince_ >= settlingTime;
+    if (entity.facts.state == Wire::ServerState::Cold || (isNew && hasSettled))
+        entity.warmingSince = entity.warmingSince.value_or(now);
+    if (!isOffered(entity.facts))
+        return;
+    auto& service = services_[entity.facts.service];
+    service.all.push_back(&entity);
+    (entity.facts.domain == domain_ ? service.near : service.far).push_back(&entity);
+}
+
+double Balancer::tripMicros(const ServerFacts& facts) const
+{
+    if (facts.domain == domain_)
+        return 0;
+    bool isOtherRegion = !region_.empty() && facts.region != region_;
+    return isOtherRegion ? otherRegionMicros : otherDomainMicros;
+}
+
+// An attempt that has been open for longer than usual tells of a slow server before its answer does.
+double Balancer::slowness(Instant now, const ServiceEntity& service, const ServerEntity& server) const
+{
+    double slowness = server.health.isDueForTrial(now) ? 1 : server.health.slowness(now);
+    for (const auto& attempt : server.open) {
+        const auto* typical = typicalOf(service, attempt.route);
+        if (!typical)
+            continue;
+        double ratio = typical->ratioOf(now - attempt.startedAt);
+        if (ratio > slowness)
+            slowness = std::max(slowness, server.health.slownessAfter(now, ratio));
+    }
+    return slowness;
 }
 
 double Balancer::score(Instant now, const ServerEntity& server) const
 {
-    double limit = std::max<double>(1, server.stamp.limit > 0 ? server.stamp.limit : server.facts.slots);
-    double stamped = 0;
-    if (server.stampedAt) {
-        double age = static_cast<double>((now - *server.stampedAt).count());
-        stamped = (server.stamp.running + server.stamp.queued) * std::exp2(-age / stampHalfLifeMicros);
+    auto found = services_.find(server.facts.service);
+    static const ServiceEntity none;
+    const auto& service = found == services_.end() ? none : found->second;
+    double typical = service.typical.isKnown() ? service.typical.micros() : unknownTypicalMicros;
+    double work = typical * slowness(now, service, server);
+
+    double limit = limitOf(server);
+    double weight = stampWeight(now, server);
+    double others = std::max(0.0, static_cast<double>(server.stamp.running) + server.stamp.queued - server.inFlightAtStamp) * weight;
+    double load = others + server.inFlight;
+    double utilization = std::min(1.0, load / limit);
+    double queued = std::max(0.0, load + 1 - limit) / limit * work;
+    double wait = std::max(queued, server.stamp.waitMicros * weight);
+    return work * (1 + utilization * utilization) + wait + tripMicros(server.facts) + server.health.failureShare(now) * failureMicros;
+}
+
+bool Balancer::isFit(const Query& query, const ServerEntity& server) const
+{
+    if (std::ranges::find(query.excluded, server.facts.id) != query.excluded.end())
+        return false;
+    if (query.takesUnfit)
+        return true;
+    bool isEjected = server.ejectedUntil && *server.ejectedUntil > query.now;
+    bool isRefusing = server.refusedUntil && *server.refusedUntil > query.now;
+    return !isEjected && !isRefusing && server.inFlight < server.health.allowance();
+}
+
+// Two distinct random choices, so that entries with the same stale stamps do not all pick the same server.
+ServerEntity* Balancer::pick(const Query& query, const std::vector<ServerEntity*>& pool)
+{
+    constexpr unsigned wanted = 2;
+    ServerEntity* best = nullptr;
+    double bestScore = 0;
+    unsigned seen = 0;
+    std::size_t offset = pool.empty() ? 0 : random_.below(pool.size());
+    // A step that shares no divisor with the size visits every server once.
+    std::size_t step = pool.size() > 1 ? 1 + random_.below(pool.size() - 1) : 1;
+    while (std::gcd(step, std::max<std::size_t>(1, pool.size())) != 1)
+        --step;
+    for (std::size_t index = 0; index < pool.size() && seen < wanted; ++index) {
+        auto* server = pool[(offset + index * step) % pool.size()];
+        if (!isFit(query, *server))
+            continue;
+        ++seen;
+        double serverScore = score(query.now, *server);
+        if (best && serverScore >= bestScore)
+            continue;
+        best = server;
+        bestScore = serverScore;
+    }
+    return best;
+}
+
+ServerEntity* Balancer::pickNearFirst(const Query& query)
+{
+    auto* near = pick(query, query.service.near);
+    auto* far = pick(query, query.service.far);
+    // Calls that stay on one far server tell at once when it slows down.
+    auto* last = query.service.lastFar;
+    if (last && far && isFit(query, *last) && score(query.now, *last) <= score(query.now, *far))
+        far = last;
+    if (!near || !far)
+        return near ? near : far;
+    return score(query.now, *near) <= score(query.now, *far) ? near : far;
+}
+
+ServerEntity* Balancer::chooseBalanced(Query& query)
+{
+    auto* chosen = pickNearFirst(query);
+    if (!chosen) {
+        // With all of them unfit, any is better than none.
+        query.takesUnfit = true;
+        return pickNearFirst(query);
     }
-    double latency = server.latencyMicros > 0 ? server.latencyMicros : fallbackLatencyMicros;
-    double load = std::max<double>(stamped, server.inFlight) + 1;
-    double distance = server.facts.domain == domain_ ? 0 : otherDomainMicros;
-    return latency * load / limit + distance + server.errorShare * errorPenaltyMicros;
+    if (random_.fraction() < warmingShare(query.now, *chosen))
+        return chosen;
+    query.excluded.push_back(chosen->facts.id);
+    auto* warm = pickNearFirst(query);
+    return warm ? warm : chosen;
 }
 
-/// Visits the policy with the candidates of one choice.
+/// Visits the policy.
 struct Balancer::Chooser {
     Balancer& balancer;
-    Instant now;
-    const std::string& service;
-    const std::vector<const ServerEntity*>& candidates;
+    Query& query;
+    const std::string& name;
 
-    const ServerEntity* operator()(NaivePolicy& policy) const
+    ServerEntity* operator()(NaivePolicy& policy) const
     {
-        auto& next = policy.nextIndex[service];
-        return candidates[next++ % candidates.size()];
+        std::vector<ServerEntity*> candidates;
+        for (auto* server : query.service.all) {
+            if (std::ranges::find(query.excluded, server->facts.id) == query.excluded.end())
+                candidates.push_back(server);
+        }
+        return candidates.empty() ? nullptr : candidates[policy.nextIndex[name]++ % candidates.size()];
     }
 
-    const ServerEntity* operator()(BalancedPolicy&) const
-    {
-        const auto* first = candidates[balancer.random_.below(candidates.size())];
-        const auto* second = candidates[balancer.random_.below(candidates.size())];
-        return balancer.score(now, *first) <= balancer.score(now, *second) ? first : second;
-    }
+    ServerEntity* operator()(BalancedPolicy&) const { return balancer.chooseBalanced(query); }
 };
 
 std::optional<Choice> Balancer::choose(Instant now, const std::string& service, bool isNaive, const std::vector<ServerId>& excluded)
 {
-    auto ids = services_.find(service);
-    if (ids == services_.end())
+    auto found = services_.find(service);
+    if (found == services_.end())
         return std::nullopt;
-    std::vector<const ServerEntity*> candidates;
-    std::vector<const ServerEntity*> ejected;
-    for (const auto& id : ids->second) {
-        if (std::ranges::find(excluded, id) != excluded.end())
-            continue;
-        const auto& server = servers_.at(id);
-        bool isEjected = !isNaive && server.ejectedUntil && *server.ejectedUntil > now;
-        (isEjected ? ejected : candidates).push_back(&server);
-    }
-    // With all ejected, any is better than none.
-    if (candidates.empty())
-        candidates = std::move(ejected);
-    if (candidates.empty())
+    found->second.usedAt = now;
+    Query query{now, found->second, excluded};
+    Chooser chooser{*this, query, service};
+    BalancedPolicy balanced;
+    auto* chosen = isNaive ? chooser(naive_) : chooser(balanced);
+    if (!chosen)
         return std::nullopt;
-    const ServerEntity* chosen = nullptr;
-    if (isNaive) {
-        chosen = Chooser{*this, now, service, candidates}(naive_);
-    } else {
-        BalancedPolicy policy;
-        chosen = Chooser{*this, now, service, candidates}(policy);
-    }
-    return Choice{chosen->facts.id, chosen->facts.guard, chosen->facts.incarnation};
+    if (chosen->facts.domain != domain_)
+        found->second.lastFar = chosen;
+    return Choice{chosen->facts.id, chosen->facts.guard, chosen->facts.incarnation, now};
 }
 
-void Balancer::started(Instant, const ServerId& id)
+void Balancer::started(Instant now, const ServerId& id, const std::string& route)
 {
-    if (auto found = servers_.find(id); found != servers_.end())
-        ++found->second.inFlight;
+    auto found = servers_.find(id);
+    if (found == servers_.end())
+        return;
+    ++found->second.inFlight;
+    found->second.open.push_back({now, route});
+}
+
+void Balancer::learn(Instant now, ServiceEntity& service, ServerEntity& server, const Feedback& feedback)
+{
+    if (isFailure(feedback.result)) {
+        if (auto length = server.health.onFailure(now, feedback.result == AttemptResult::Unreachable))
+            server.ejectedUntil = now + *length;
+        return;
+    }
+    auto& typical = service.routes[feedback.route];
+    double ratio = typical.ratioOf(feedback.latency);
+    if (feedback.result == AttemptResult::Abandoned) {
+        // A caller that gave up early says nothing; one that waited far too long says that the server is slow.
+        if (ratio >= slowAbandonedRatio)
+            server.health.onAnswer(now, ratio);
+        return;
+    }
+    typical.observe(feedback.latency);
+    service.typical.observe(feedback.latency);
+    server.health.onAnswer(now, ratio);
 }
 
 void Balancer::finished(Instant now, const ServerId& id, const Feedback& feedback)
@@ -135,27 +321,28 @@
     if (found == servers_.end())
         return;
     auto& server = found->second;
-    if (server.inFlight > 0)
-        --server.inFlight;
-    if (feedback.stamp) {
-        server.stamp = *feedback.stamp;
-        server.stampedAt = now;
-    }
-    if (feedback.result == AttemptResult::Abandoned || feedback.result == AttemptResult::Refused)
+    if (!closeAttempt(now, feedback, server))
         return;
-    bool hasFailed = isFailure(feedback.result);
-    server.errorShare += errorWeight * ((hasFailed ? 1.0 : 0.0) - server.errorShare);
-    if (!hasFailed) {
-        double latency = static_cast<double>(feedback.latency.count());
-        server.latencyMicros += (server.latencyMicros > 0 ? latencyWeight : 1.0) * (latency - server.latencyMicros);
-        server.ejections = 0;
+    if (feedback.stamp)
+        takeStamp(now, *feedback.stamp, server);
+    if (feedback.result != AttemptResult::Abandoned)
+        server.heardAt = now;
+    if (feedback.result == AttemptResult::Refused) {
+        auto wait = feedback.stamp ? Duration(feedback.stamp->waitMicros) : Duration::zero();
+        server.refusedUntil = now + std::clamp(wait, shortestRefusal, longestRefusal);
         return;
     }
-    bool isUnreachable = feedback.result == AttemptResult::Unreachable;
-    if (!isUnreachable && server.errorShare < ejectionErrorShare)
+    learn(now, services_[server.facts.service], server, feedback);
+}
+
+void Balancer::probed(Instant now, const ServerId& id, const Wire::LoadStamp& stamp, double ratio)
+{
+    auto found = servers_.find(id);
+    if (found == servers_.end())
         return;
-    server.ejectedUntil = now + firstEjection * (1U << std::min(server.ejections, maximumEjectionDoublings));
-    ++server.ejections;
+    takeStamp(now, stamp, found->second);
+    found->second.heardAt = now;
+    found->second.health.onReport(now, ratio);
 }
 
 } // namespace balsamreel::Balance
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -157,6 +157,8 @@
 
     Balance::Feedback feedback;
     feedback.latency = monotonicNow() - sentAt;
+    feedback.startedAt = choice.chosenAt;
+    feedback.route = call.route->name;
     feedback.stamp = Wire::parseLoadStamp(answer.get(Wire::loadHeader, ""));
     bool isRefused = !error && outcomeOf(answer) == Support::nameOf(Wire::outcomeNames, Wire::Outcome::NotRun);
     if (error)
@@ -202,7 +204,7 @@
             std::lock_guard lock(context_.balancerMutex);
             choice = context_.balancer.choose(now, call.service->name, isNaive, call.excluded);
             if (choice)
-                context_.balancer.started(now, choice->server);
+                context_.balancer.started(now, choice->server, call.route->name);
         }
         if (!choice) {
             giveUp(call, call.lastRefusal);
