Keep accepting while a node leaves; test whole nodes on real sockets

Cause: drain() stopped the listener first, so a connection still in the listen queue got no answer for as long as the node drained (found by the new test AGracefulEndCutsNothing: a caller timed out after 30 s).

Ruled out: the guard's drain and the retry at the entry, both answered.

Change: a leaving node goes on accepting and closes each connection with its answer; after 5 s it refuses as not run; the listener closes at the end. New tests run nodes, stand-in servers and the store in one process: answers through any node, 64 MB bodies both ways, garbage on every port, short and cut bodies, bad announcements, graceful end, change and refusal of configuration.

--- a/include/balsamreel/Node/Context.h
+++ b/include/balsamreel/Node/Context.h
@@ -96,7 +96,8 @@
     ConfigHolder config;
     ConnectionPool pool;
     InFlight inFlight;
-    std::atomic<bool> isLeaving{false};
+    std::atomic<bool> isLeaving{false}; ///< answers close their connections
+    std::atomic<bool> refusesCalls{false}; ///< late in a drain: callers are sent away as not run
 
     std::mutex balancerMutex;
     Balance::Balancer balancer; ///< guarded by balancerMutex
--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -17,6 +17,8 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
 // A caller may have sent a call just before it learns that its connection closes.
 constexpr Duration quietBeforeEnd = std::chrono::milliseconds(1000);
+// Callers that go on sending to a leaving node are served for so long, then refused.
+constexpr Duration serveWhileLeaving = std::chrono::seconds(5);
 constexpr int adminConnections = 16;
 
 Support::HttpServerOptions connectionLimit(int maximum)
@@ -94,14 +96,18 @@
     context_.isLeaving = true;
     gossip_.leave();
     guard_.drainAll();
-    callers_.stopAccepting();
-    auto end = monotonicNow() + context_.settings.grace;
-    auto quietSince = monotonicNow();
+    // Connections are still accepted and each answer closes its own: one left in the listen
+    // queue would get no answer at all.
+    auto start = monotonicNow();
+    auto end = start + context_.settings.grace;
+    auto quietSince = start;
     while (monotonicNow() < end && monotonicNow() - quietSince < quietBeforeEnd) {
         if (context_.inFlight.count() > 0)
             quietSince = monotonicNow();
+        context_.refusesCalls = monotonicNow() - start >= serveWhileLeaving;
         std::this_thread::sleep_for(tickInterval);
     }
+    callers_.stopAccepting();
     Support::log(Support::LogLevel::Info, "ended", "in_flight={}", context_.inFlight.count());
 }
 
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -64,6 +64,8 @@
         sendNotRun(call.response, status, reason, Duration::zero(), true);
         return false;
     };
+    if (context_.refusesCalls)
+        return refuse(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "leaving");
     call.config = context_.config.get();
     if (!call.config)
         return refuse(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no-configuration");
--- /dev/null
+++ b/unittests/Node/DaemonTest.cpp
@@ -0,0 +1,149 @@
+// Whole nodes on real sockets: answers, large bodies, bad input, graceful end.
+#include "Deployment.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace balsamreel::Node {
+namespace {
+
+constexpr std::size_t megabyte = std::size_t(1024) * 1024;
+
+std::string pattern(const std::string& id, std::size_t bytes)
+{
+    std::string text;
+    while (text.size() < bytes)
+        text += id + "\n";
+    return text.substr(0, bytes);
+}
+
+/// Sends raw bytes and gives all that comes back until the other end closes.
+std::string sendRaw(const Support::Endpoint& target, const std::string& bytes, bool closesAfter = true)
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(target.host, target.port));
+    socket.setReceiveTimeout(Poco::Timespan(20, 0));
+    std::string answer;
+    try {
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (closesAfter)
+            socket.shutdownSend();
+        std::array<char, 4096> buffer{};
+        for (int count = 1; count > 0;) {
+            count = socket.receiveBytes(buffer.data(), buffer.size());
+            answer.append(buffer.data(), static_cast<std::size_t>(std::max(count, 0)));
+        }
+    } catch (const Poco::Exception&) {
+        // A reset is one of the ways to turn garbage down.
+        return answer;
+    }
+    return answer;
+}
+
+TEST(Daemon, AnswersThroughAnyNode)
+{
+    Deployment deployment(3);
+    ASSERT_TRUE(deployment.waitReady());
+    for (const auto& entry : deployment.entries) {
+        auto answer = call(entry, "GET", "/specs/7", {{"X-Test-Id", "q1"}, {"X-Test-Bytes", "100"}});
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.body, pattern("q1", 100));
+        EXPECT_EQ(answer.header("X-Balsam-Outcome"), "ran");
+    }
+    auto missing = call(deployment.entries[0], "GET", "/nowhere");
+    EXPECT_EQ(missing.status, 404);
+    EXPECT_EQ(missing.header("X-Balsam-Outcome"), "not-run");
+}
+
+TEST(Daemon, StreamsLargeBodiesBothWays)
+{
+    Deployment deployment(2);
+    ASSERT_TRUE(deployment.waitReady());
+    std::string body(64 * megabyte, 'b');
+    auto answer = call(deployment.entries[0], "POST", "/specs/upload", {{"X-Test-Id", "up"}}, body);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.header("X-Test-Received"), std::to_string(body.size()));
+    auto large = call(deployment.entries[1], "GET", "/specs/map", {{"X-Test-Id", "down"}, {"X-Test-Bytes", std::to_string(64 * megabyte)}});
+    EXPECT_EQ(large.body, pattern("down", 64 * megabyte));
+}
+
+TEST(Daemon, GoesOnAfterGarbage)
+{
+    Deployment deployment(2);
+    ASSERT_TRUE(deployment.waitReady());
+    std::string longHeader = "GET /specs HTTP/1.1\r\nX-Long: " + std::string(megabyte, 'x') + "\r\n\r\n";
+    std::string manyHeaders = "GET /specs HTTP/1.1\r\n";
+    for (int index = 0; index < 5000; ++index)
+        manyHeaders += "X-H" + std::to_string(index) + ": 1\r\n";
+    for (const auto& target : {deployment.entries[0], deployment.peers[0], deployment.admins[0]}) {
+        for (const auto& bytes : {std::string("\x01\x02\x03\xff\r\n\r\n"), std::string("GET\r\n\r\n"), longHeader, manyHeaders + "\r\n", std::string(megabyte, '\0')})
+            EXPECT_EQ(sendRaw(target, bytes).find("200 OK"), std::string::npos);
+    }
+    // A body shorter than announced never reaches a server as a whole one.
+    sendRaw(deployment.entries[0], "POST /release HTTP/1.1\r\nHost: x\r\nX-Test-Id: short\r\nContent-Length: 100\r\n\r\nabc");
+    sendRaw(deployment.entries[0], "POST /release HTTP/1.1\r\nHost: x\r\nX-Test-Id: chunk\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab");
+    Poco::Net::DatagramSocket datagrams;
+    Poco::Net::SocketAddress peer("127.0.0.1", deployment.peers[0].port);
+    for (int size : {0, 1, 100, 1400, 9000}) {
+        std::string bytes(static_cast<std::size_t>(size), '\x01');
+        datagrams.sendTo(bytes.data(), size, peer);
+    }
+    EXPECT_EQ(call(deployment.entries[0], "GET", "/specs", {{"X-Test-Id", "after"}}).body, "after");
+    for (const auto& server : deployment.serverEndpoints) {
+        auto executions = call(server, "GET", "/executions").body;
+        EXPECT_EQ(executions.find("short"), std::string::npos);
+        EXPECT_EQ(executions.find("chunk"), std::string::npos);
+    }
+}
+
+TEST(Daemon, RefusesBadAnnouncements)
+{
+    Deployment deployment(1);
+    for (const char* body : {"", "{}", "[]", "{\"address\":1}", R"({"address":"x","state":"ready","service":"s","slots":1,"lease_ms":1})",
+             R"({"address":"127.0.0.1:1","state":"ready","service":"s","slots":0,"lease_ms":1000})"})
+        EXPECT_EQ(call(deployment.admins[0], "POST", "/v1/announce", {}, body).status, 400) << body;
+}
+
+TEST(Daemon, AGracefulEndCutsNothing)
+{
+    Deployment deployment(3);
+    ASSERT_TRUE(deployment.waitReady());
+    std::atomic<int> good{0};
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 8; ++index) {
+        callers.emplace_back([&, index] {
+            auto id = "g" + std::to_string(index);
+            auto answer = call(deployment.entries[static_cast<std::size_t>(index) % 2], "GET", "/specs", {{"X-Test-Id", id}, {"X-Test-Work-Us", "600000"}});
+            good += answer.status == 200 && answer.body == id ? 1 : 0;
+        });
+    }
+    ASSERT_TRUE(eventually([&] { return call(deployment.admins[0], "GET", "/v1/status").body.find("\"in_flight\":0") == std::string::npos; }));
+    deployment.daemons[0]->drain();
+    for (auto& caller : callers)
+        caller.join();
+    EXPECT_EQ(good, 8);
+    EXPECT_TRUE(eventually([&] { return call(deployment.admins[1], "GET", "/v1/status").body.find("\"left\"") != std::string::npos; }));
+}
+
+TEST(Daemon, FollowsChangesAndKeepsTheLastGoodConfiguration)
+{
+    Deployment deployment(2);
+    ASSERT_TRUE(deployment.waitReady());
+    auto generationIs = [&](std::size_t node, const std::string& generation) {
+        return call(deployment.admins[node], "GET", "/v1/status").body.find("\"generation\":" + generation) != std::string::npos;
+    };
+    deployment.putFile("20.toml", "[route.more]\nservice = \"catalog\"\npath = \"/more\"\n");
+    for (std::size_t node : {0U, 1U})
+        EXPECT_TRUE(eventually([&] { return generationIs(node, "2"); }));
+    EXPECT_EQ(call(deployment.entries[1], "GET", "/more", {{"X-Test-Id", "m"}}).status, 200);
+    deployment.putFile("30.toml", "[route.bad]\nservice = \"none\"\n");
+    EXPECT_TRUE(eventually([&] { return call(deployment.admins[0], "GET", "/v1/status").body.find("30.toml") != std::string::npos; }));
+    EXPECT_TRUE(generationIs(0, "2"));
+    EXPECT_EQ(call(deployment.entries[0], "GET", "/more", {{"X-Test-Id", "m"}}).status, 200);
+}
+
+} // namespace
+} // namespace balsamreel::Node
