Follow one call through nine layers; draw load and latency over time

Cause: an operator could not see where a single call spent its time, and the load tool gave sums only.

Change: X-Balsam-Trace puts every step of that call into the time line of each node it passes, under one call id that servers pass on; untraced calls record nothing. The answer's Date header is no longer sent twice.

--- a/include/balsamreel/Load/Profile.h
+++ b/include/balsamreel/Load/Profile.h
@@ -21,6 +21,7 @@
     bool isAtMostOnce = false;
     std::uint64_t answerBytes = 64;
     std::uint64_t requestBytes = 0;
+    std::string chain; ///< paths that the servers call below this one, separated by commas
 };
 
 /// A stretch of time with one mean arrival rate.
@@ -34,7 +35,7 @@
     std::vector<CallKind> kinds;
 };
 
-/// The profiles that come with the tool: "tengri", "association", "steady", and "idle" whose calls need no work.
+/// The profiles that come with the tool: "tengri", "association", "steady", "idle" whose calls need no work, and "chain" nine deep.
 std::optional<Profile> findProfile(std::string_view name);
 
 /// Reads "RATE:SECONDS,RATE:SECONDS,..."; nothing if malformed.
--- a/include/balsamreel/Standins/FakeServer.h
+++ b/include/balsamreel/Standins/FakeServer.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -27,6 +28,7 @@
     double noiseFactor = 4;
     Support::Duration loadLag = std::chrono::seconds(1); ///< age of what its load endpoint says
     std::uint64_t seed = 1;
+    std::optional<Support::Endpoint> entry; ///< for the calls it makes itself
 };
 
 /// Faults, set by POST /control?...
--- a/include/balsamreel/Wire/Headers.h
+++ b/include/balsamreel/Wire/Headers.h
@@ -19,6 +19,7 @@
 constexpr const char* priorityHeader = "X-Balsam-Priority";
 constexpr const char* callerHeader = "X-Balsam-Caller";
 constexpr const char* routeHeader = "X-Balsam-Route";
+constexpr const char* traceHeader = "X-Balsam-Trace"; ///< set: every step of the call goes into the time line
 constexpr const char* loadHeader = "X-Balsam-Load";
 constexpr const char* outcomeHeader = "X-Balsam-Outcome";
 constexpr const char* reasonHeader = "X-Balsam-Reason";
--- a/lib/Load/Profile.cpp
+++ b/lib/Load/Profile.cpp
@@ -14,6 +14,8 @@
 {
     return {
         {"idle", std::vector{CallKind{.name = "specs", .path = "/catalog/specs"}}},
+        // Nine layers of short calls through the three services.
+        {"chain", std::vector{CallKind{.name = "chain", .path = "/catalog/specs", .work = milliseconds(2), .chain = "/batch/fixtures,/metrology/readings,/catalog/specs,/batch/fixtures,/metrology/readings,/catalog/specs,/batch/fixtures,/metrology/readings"}}},
         {"steady", {{.name = "specs", .path = "/catalog/specs", .work = milliseconds(4)}}},
         {"tengri",
             {
--- a/lib/Load/Runner.cpp
+++ b/lib/Load/Runner.cpp
@@ -114,6 +114,8 @@
         request.set("X-Test-Work-Us", std::to_string(kind.work.count()));
         request.set("X-Test-Bytes", std::to_string(kind.answerBytes));
         request.set("X-Balsam-Remaining-Us", std::to_string(options_.deadline.count()));
+        if (!kind.chain.empty())
+            request.set("X-Test-Chain", kind.chain);
         if (kind.method != HTTPRequest::HTTP_GET)
             request.setContentLength64(static_cast<Poco::Int64>(kind.requestBytes));
         // A kept-alive connection that the other end has closed in the meantime is no failure of the call.
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -1,5 +1,6 @@
 #include "balsamreel/Node/Entry.h"
 
+#include "balsamreel/Node/CallTrace.h"
 #include "balsamreel/Support/Http.h"
 #include "balsamreel/Wire/Headers.h"
 
@@ -47,6 +48,7 @@
     const Config::Route* route = nullptr;
     const Config::Service* service = nullptr;
     std::string callId;
+    CallTrace trace;
     Instant startedAt;
     Instant deadline;
     std::uint64_t depth = 0;
@@ -84,6 +86,8 @@
     call.callId = call.request.get(Wire::callHeader, "");
     if (call.callId.empty())
         call.callId = fmt::format("{:x}-{:x}", context_.attemptIncarnation, context_.nextAttempt++);
+    call.trace = CallTrace(context_.timeline, call.request, call.callId);
+    call.trace.step("received", "route={} depth={} remaining_us={}", call.route->name, call.depth, allowed.count());
     if (call.body.readFirst())
         return refuse(HTTPResponse::HTTP_BAD_REQUEST, "request-cut");
     return true;
@@ -103,6 +107,8 @@
     request.set(Wire::callerHeader, call.request.clientAddress().host().toString());
     request.set(Wire::routeHeader, call.route->name);
     request.set(Wire::workClassHeader, std::string(Support::nameOf(Config::workClassNames, call.route->workClass)));
+    call.trace.passOn(request);
+    call.trace.step("attempt", "attempt={} server={}", attempt.text(), choice.server.text());
     if (call.route->isAtMostOnce)
         request.set(Wire::atMostOnceHeader, "1");
     if (!call.body.isWhole())
@@ -172,6 +178,7 @@
         std::lock_guard lock(context_.balancerMutex);
         context_.balancer.finished(monotonicNow(), choice.server, feedback);
     }
+    call.trace.step("answer", "status={} outcome={} error=\"{}\" latency_us={}", static_cast<int>(answer.getStatus()), outcomeOf(answer), error ? error.message() : "", feedback.latency.count());
     if (error)
         return onError(call, error, call.body);
     if (isRefused)
--- a/lib/Node/Exchange.cpp
+++ b/lib/Node/Exchange.cpp
@@ -386,6 +386,9 @@
 std::error_code relayAnswer(Exchange& exchange, const HTTPResponse& answer, HTTPServerRequest& request, HTTPServerResponse& response, const Session::Sink& copy)
 {
     response.setStatusAndReason(answer.getStatus(), answer.getReason());
+    // The server's own date replaces the one that this process has set.
+    if (answer.has("Date"))
+        response.erase("Date");
     copyHeaders(answer, response);
     bool hasBody = answerHasBody(request.getMethod(), answer.getStatus());
     if (answer.hasContentLength())
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -1,5 +1,6 @@
 #include "balsamreel/Node/Guard.h"
 
+#include "balsamreel/Node/CallTrace.h"
 #include "balsamreel/Support/Http.h"
 #include "balsamreel/Support/Log.h"
 #include "balsamreel/Wire/Headers.h"
@@ -64,6 +65,7 @@
     Admission::Ticket ticket;
     bool isAtMostOnce = false;
     bool holdsBody = false;
+    CallTrace trace;
     std::unique_ptr<RequestBody> body;
 };
 
@@ -176,6 +178,7 @@
     call.ticket.depth = static_cast<unsigned>(numberHeader(request, Wire::depthHeader, 0, maximumDepth));
     call.ticket.priority = static_cast<unsigned>(numberHeader(request, Wire::priorityHeader, Config::Route::defaultPriority, Config::Route::lowestPriority));
     call.ticket.deadline = now + Duration(numberHeader(request, Wire::remainingHeader, defaultRemaining.count(), maximumRemaining.count()));
+    call.trace = CallTrace(context_.timeline, request, request.get(Wire::callHeader, ""));
     call.body = std::make_unique<RequestBody>(request);
     return call;
 }
@@ -221,6 +224,7 @@
 void Guard::refuse(const Call& call, HTTPServerRequest& request, HTTPServerResponse& response, const Admission::Refused& refusal)
 {
     std::string reason(Support::nameOf(Admission::refusalReasonNames, refusal.reason));
+    call.trace.step("refused", "reason={}", reason);
     context_.metrics.add(fmt::format("balsam_guard_refused_total{{reason=\"{}\"}}", reason));
     setStamp(call, response);
     bool isBodyUnread = !call.holdsBody && (request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0));
@@ -259,6 +263,8 @@
     HTTPRequest outgoing(request.getMethod(), request.getURI(), HTTPRequest::HTTP_1_1);
     copyHeaders(request, outgoing);
     auto remaining = call.ticket.deadline - monotonicNow();
+    call.trace.passOn(outgoing);
+    call.trace.step("dispatched", "server={} depth={}", call.server.text(), call.ticket.depth);
     outgoing.set(Wire::callHeader, request.get(Wire::callHeader, ""));
     outgoing.set(Wire::depthHeader, std::to_string(call.ticket.depth + 1));
     outgoing.set(Wire::remainingHeader, std::to_string(remaining.count()));
@@ -266,6 +272,7 @@
     Exchange exchange(context_.pool, {.target = call.server, .deadline = call.ticket.deadline, .isFreshConnection = call.isAtMostOnce, .caller = &socketOf(request)});
     HTTPResponse answer;
     auto error = exchange.start(outgoing, *call.body, answer);
+    call.trace.step("worked", "server={} status={} error=\"{}\"", call.server.text(), static_cast<int>(answer.getStatus()), error ? error.message() : "");
     finish(call, !error && answer.getStatus() < firstServerError);
     if (error) {
         std::lock_guard lock(mutex_);
--- a/lib/Standins/FakeServer.cpp
+++ b/lib/Standins/FakeServer.cpp
@@ -1,5 +1,6 @@
 #include "balsamreel/Standins/FakeServer.h"
 
+#include "balsamreel/Standins/Chain.h"
 #include "balsamreel/Support/Log.h"
 
 #include <Poco/JSON/Object.h>
@@ -234,6 +235,8 @@
     }
     if (!isDone)
         return;
+    if (options_.entry && !callNext(request, *options_.entry, id))
+        return sendText(response, HTTPResponse::HTTP_BAD_GATEWAY, "text/plain", "a call below failed\n");
     auto bytes = numberOr(request.get("X-Test-Bytes", ""), id.size());
     response.set(idHeader, id);
     response.set("X-Test-Received", std::to_string(bodyBytes));
--- a/tools/balsam-load/main.cpp
+++ b/tools/balsam-load/main.cpp
@@ -1,5 +1,6 @@
 // balsam-load: open-loop load with every answer checked.
 #include "balsamreel/Load/Runner.h"
+#include "balsamreel/Load/Series.h"
 #include "balsamreel/Support/Settings.h"
 #include "balsamreel/Support/Signals.h"
 
@@ -14,11 +15,12 @@
     std::vector<Support::SettingSpec> specs{
         {.flag = "entries", .environment = "BALSAM_LOAD_ENTRIES", .kind = SettingKind::EndpointList, .help = "addresses to call", .isRequired = true},
         {.flag = "servers", .environment = "BALSAM_LOAD_SERVERS", .kind = SettingKind::EndpointList, .help = "stand-ins whose execution logs are checked at the end"},
-        {.flag = "profile", .environment = "BALSAM_LOAD_PROFILE", .fallback = "steady", .help = "kinds of calls", .choices = {"idle", "steady", "tengri", "association"}},
+        {.flag = "profile", .environment = "BALSAM_LOAD_PROFILE", .fallback = "steady", .help = "kinds of calls", .choices = {"idle", "steady", "chain", "tengri", "association"}},
         {.flag = "phases", .environment = "BALSAM_LOAD_PHASES", .fallback = "200:5", .help = "arrival rates: CALLS_PER_S:SECONDS,..."},
         {.flag = "workers", .environment = "BALSAM_LOAD_WORKERS", .kind = SettingKind::Integer, .fallback = "256", .minimum = 1, .maximum = 2000, .help = "most calls in flight at once"},
         {.flag = "deadline-ms", .environment = "BALSAM_LOAD_DEADLINE_MS", .kind = SettingKind::Integer, .fallback = "5000", .minimum = 1, .maximum = 600'000, .unit = "milliseconds", .help = "deadline sent with each call"},
         {.flag = "seed", .environment = "BALSAM_LOAD_SEED", .kind = SettingKind::Integer, .fallback = "1", .minimum = 0, .maximum = 1e9, .help = "seed of the arrivals"},
+        {.flag = "tables", .environment = "BALSAM_LOAD_TABLES", .help = "existing folder for series.tsv and quantiles.tsv, see utils/plot"},
         {.flag = "json", .environment = "BALSAM_LOAD_JSON", .kind = SettingKind::Switch, .help = "print one JSON line only"},
     };
     Support::blockEndSignals();
@@ -37,6 +39,11 @@
     if (!settings.isOn("json"))
         fmt::print("{}", Load::textSummary(options, result));
     fmt::print("{}\n", Load::jsonSummary(options, result));
+    auto folder = settings.text("tables");
+    if (!folder.empty() && !Load::writeTables(folder, options, result)) {
+        fmt::print(stderr, "balsam-load: {}: tables could not be written\n", folder);
+        return 1;
+    }
     bool hasWrong = std::ranges::any_of(result.calls, [](const auto& call) { return call.result == Load::CallResult::WrongAnswer || call.result == Load::CallResult::Cut; });
     return hasWrong || result.ranTwice > 0 || result.falseNotRun > 0 ? 1 : 0;
 }
--- a/tools/fake-server/main.cpp
+++ b/tools/fake-server/main.cpp
@@ -21,6 +21,7 @@
         {.flag = "cold-ms", .environment = "FAKE_SERVER_COLD_MS", .kind = SettingKind::Integer, .fallback = "0", .minimum = 0, .maximum = 1e6, .unit = "milliseconds", .help = "time during which it works slower after its start"},
         {.flag = "noise", .environment = "FAKE_SERVER_NOISE", .kind = SettingKind::Real, .fallback = "0", .minimum = 0, .maximum = 1, .help = "share of time in which a neighbour slows it down"},
         {.flag = "noise-factor", .environment = "FAKE_SERVER_NOISE_FACTOR", .kind = SettingKind::Real, .fallback = "4", .minimum = 1, .maximum = 100, .help = "how much slower it is then"},
+        {.flag = "entry", .environment = "FAKE_SERVER_ENTRY", .kind = SettingKind::Endpoint, .help = "where it sends the calls that it makes itself"},
         {.flag = "seed", .environment = "FAKE_SERVER_SEED", .kind = SettingKind::Integer, .fallback = "1", .minimum = 0, .maximum = 1e9, .help = "seed of work times and noise"},
     };
     auto settings = Support::readSettings({"fake-server", "A stand-in for a server that announces itself to its node.", ""}, specs, argumentCount, const_cast<const char**>(arguments));
@@ -34,6 +35,7 @@
     options.coldTime = std::chrono::milliseconds(settings.integer("cold-ms"));
     options.noiseShare = settings.real("noise");
     options.noiseFactor = settings.real("noise-factor");
+    options.entry = settings.optionalEndpoint("entry");
     options.seed = static_cast<std::uint64_t>(settings.integer("seed"));
     try {
         Standins::FakeServer server(options);
--- a/unittests/Node/DaemonTest.cpp
+++ b/unittests/Node/DaemonTest.cpp
@@ -58,6 +58,22 @@
     EXPECT_EQ(missing.header("X-Balsam-Outcome"), "not-run");
 }
 
+TEST(Daemon, FollowsATracedCallThroughNineLayers)
+{
+    Deployment deployment(2);
+    ASSERT_TRUE(deployment.waitReady());
+    std::string chain = "/specs";
+    for (int layer = 2; layer < 9; ++layer)
+        chain += ",/specs";
+    auto answer = call(deployment.entries[0], "GET", "/specs", {{"X-Test-Id", "deep"}, {"X-Test-Chain", chain}, {"X-Balsam-Trace", "1"}, {"X-Balsam-Call", "c9"}});
+    EXPECT_EQ(answer.status, 200);
+    auto events = call(deployment.admins[0], "GET", "/v1/timeline").body + call(deployment.admins[1], "GET", "/v1/timeline").body;
+    for (int depth = 0; depth < 9; ++depth)
+        EXPECT_NE(events.find("call=c9 step=received route=specs depth=" + std::to_string(depth)), std::string::npos) << depth;
+    EXPECT_EQ(call(deployment.entries[0], "GET", "/specs", {{"X-Test-Id", "plain"}, {"X-Balsam-Call", "c10"}}).status, 200);
+    EXPECT_EQ(call(deployment.admins[0], "GET", "/v1/timeline").body.find("call=c10"), std::string::npos);
+}
+
 TEST(Daemon, StreamsLargeBodiesBothWays)
 {
     Deployment deployment(2);
@@ -113,6 +129,7 @@
     ASSERT_TRUE(deployment.waitReady());
     std::atomic<int> good{0};
     std::vector<std::thread> callers;
+    callers.reserve(8);
     for (int index = 0; index < 8; ++index) {
         callers.emplace_back([&, index] {
             auto id = "g" + std::to_string(index);
--- a/unittests/Node/Deployment.h
+++ b/unittests/Node/Deployment.h
@@ -118,6 +118,7 @@
         Standins::FakeServerOptions options;
         options.listen = freeEndpoint();
         options.nodeAdmin = settings.admin;
+        options.entry = settings.listen;
         options.service = "catalog";
         options.slots = 4;
         options.workTime = std::chrono::milliseconds(1);
--- a/utils/common.sh
+++ b/utils/common.sh
@@ -67,7 +67,7 @@
     local base=$1 index=$2 deployment=$3 service=$4 slots=$5
     shift 5
     start "$deployment-server-$index" "$BIN/fake-server" --listen "$(server_of "$base" "$index")" --node "$(admin_of "$base" "$index")" \
-        --service "$service" --slots "$slots" --seed "$index" "$@"
+        --service "$service" --slots "$slots" --seed "$index" --entry "$(entry_of "$base" "$index")" "$@"
 }
 
 # start_deployment BASE DEPLOYMENT SLOTS DOMAINS "SERVICE:COUNT ..." [options of balsamd]
