Give the nine-layer test nine slots

Cause: FollowsATracedCallThroughNineLayers failed: each layer holds a guard's slot while it waits for the layer below, and two servers of 4 slots have 8.

Change: three servers. The hazard itself, a chain that needs more slots of one service than there are, is bounded by the deadline and is noted for admission.

--- a/unittests/Node/DaemonTest.cpp
+++ b/unittests/Node/DaemonTest.cpp
@@ -60,14 +60,17 @@
 
 TEST(Daemon, FollowsATracedCallThroughNineLayers)
 {
-    Deployment deployment(2);
+    // Each layer holds a slot while it waits for the one below, so nine layers need nine of the twelve slots.
+    Deployment deployment(3);
     ASSERT_TRUE(deployment.waitReady());
     std::string chain = "/specs";
     for (int layer = 2; layer < 9; ++layer)
         chain += ",/specs";
     auto answer = call(deployment.entries[0], "GET", "/specs", {{"X-Test-Id", "deep"}, {"X-Test-Chain", chain}, {"X-Balsam-Trace", "1"}, {"X-Balsam-Call", "c9"}});
     EXPECT_EQ(answer.status, 200);
-    auto events = call(deployment.admins[0], "GET", "/v1/timeline").body + call(deployment.admins[1], "GET", "/v1/timeline").body;
+    std::string events;
+    for (const auto& admin : deployment.admins)
+        events += call(admin, "GET", "/v1/timeline").body;
     for (int depth = 0; depth < 9; ++depth)
         EXPECT_NE(events.find("call=c9 step=received route=specs depth=" + std::to_string(depth)), std::string::npos) << depth;
     EXPECT_EQ(call(deployment.entries[0], "GET", "/specs", {{"X-Test-Id", "plain"}, {"X-Balsam-Call", "c10"}}).status, 200);
