Fuzz every parser that meets the outside

Cause: parsers were tested with hand-made input only.

Found and mended, each with a test: - toml++ 3.3.0 breaks its own assertion on a table header such as "[%", and in builds without assertions promises the optimizer that it can't happen; the library's assumptions are now switched off where it is included; - toml++ runs into undefined behaviour where a character of another script stands outside strings and comments; such files are now refused with line and column before the library sees them (Cyrillic and Bengali may stand in comments and strings); - POCO prints some IPv6 numbers in a form it reads back as another number; endpoints now use the C library's form.

Not tried: another TOML library.

--- /dev/null
+++ b/fuzz/Announcement.cpp
@@ -0,0 +1,16 @@
+// Announcements of servers: an error text or values within their limits.
+#include "balsamreel/Node/Announcement.h"
+
+#include <cstdlib>
+
+using namespace balsamreel;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    Node::Announcement announcement;
+    auto error = Node::parseAnnouncement(std::string(data, data + size), announcement);
+    bool isGood = announcement.record.slots > 0 && !announcement.record.service.empty() && announcement.lease > Support::Duration::zero();
+    if (error.empty() && !isGood)
+        std::abort();
+    return 0;
+}
--- /dev/null
+++ b/fuzz/Wire.cpp
@@ -0,0 +1,18 @@
+// Datagrams from anyone: decoding never fails but by an error, and what decodes survives a round trip.
+#include "balsamreel/Wire/Messages.h"
+
+#include <cstdlib>
+
+using namespace balsamreel;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    Wire::Message message;
+    if (Wire::decode({data, size}, message))
+        return 0;
+    Wire::Message again;
+    auto bytes = Wire::encode(message);
+    if (bytes.size() <= Wire::maximumDatagramBytes && (Wire::decode(bytes, again) || again.updates != message.updates))
+        std::abort();
+    return 0;
+}
--- a/include/balsamreel/Node/Guard.h
+++ b/include/balsamreel/Node/Guard.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsamreel/Admission/Gate.h"
+#include "balsamreel/Node/Announcement.h"
 #include "balsamreel/Node/Context.h"
 #include "balsamreel/Once/AttemptTable.h"
 #include "balsamreel/Wire/Messages.h"
@@ -15,12 +16,6 @@
 
 namespace balsamreel::Node {
 
-/// What a server says of itself over the admin address.
-struct Announcement {
-    Wire::ServerRecord record;
-    Support::Duration lease{}; ///< the server is taken for gone if it does not announce itself for so long
-};
-
 /// Serves the calls that entries send to this node's servers.
 class Guard {
 public:
--- a/lib/Config/Files.cpp
+++ b/lib/Config/Files.cpp
@@ -1,6 +1,7 @@
 #include "balsamreel/Config/Files.h"
 
 #include "Schema.h"
+#include "TextCheck.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -180,6 +181,10 @@
     toml::table merged;
     Origins origins;
     for (const auto& file : files) {
+        if (auto stray = findStrayCharacter(file)) {
+            result.diagnostics.push_back(std::move(*stray));
+            continue;
+        }
         try {
             auto table = toml::parse(file.text);
             // Each file is read in name order over the entities of those before it, which both
@@ -212,6 +217,8 @@
 
 std::optional<Head> decodeHead(const std::string& text)
 {
+    if (findStrayCharacter({"head", text, 0}))
+        return std::nullopt;
     try {
         auto root = toml::parse(text);
         auto generation = root["generation"].value_exact<std::int64_t>();
--- a/lib/Config/Schema.h
+++ b/lib/Config/Schema.h
@@ -3,10 +3,10 @@
 
 #include "balsamreel/Config/Files.h"
 
+#include "Toml.h"
 #include <span>
 #include <string>
 #include <string_view>
-#include <toml++/toml.h>
 
 namespace balsamreel::Config {
 
--- a/lib/Node/Admin.cpp
+++ b/lib/Node/Admin.cpp
@@ -4,7 +4,6 @@
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <fmt/format.h>
 
 #include <sstream>
@@ -21,8 +20,6 @@
 
 constexpr const char* jsonType = "application/json";
 constexpr std::size_t maximumAnnouncementBytes = 4096;
-constexpr unsigned maximumSlots = 10'000;
-constexpr int maximumLeaseMillis = 60'000;
 
 std::string jsonText(const Poco::JSON::Object& object)
 {
@@ -31,34 +28,6 @@
     return std::move(stream).str() + "\n";
 }
 
-std::string parseAnnouncement(const std::string& body, Announcement& announcement)
-{
-    try {
-        auto root = Poco::JSON::Parser().parse(body).extract<Poco::JSON::Object::Ptr>();
-        auto address = Support::parseEndpoint(root->getValue<std::string>("address"));
-        auto state = Support::valueOf(Wire::serverStateNames, root->getValue<std::string>("state"));
-        announcement.record.service = root->getValue<std::string>("service");
-        announcement.record.slots = root->getValue<unsigned>("slots");
-        int lease = root->getValue<int>("lease_ms");
-        if (!address)
-            return "address: must be IP:PORT";
-        if (!state)
-            return "state: must be cold, ready, draining or gone";
-        if (announcement.record.service.empty() || announcement.record.service.size() > Wire::maximumNameBytes)
-            return "service: must be a text of 1 to 64 bytes";
-        if (announcement.record.slots < 1 || announcement.record.slots > maximumSlots)
-            return fmt::format("slots: must be between 1 and {}", maximumSlots);
-        if (lease < 1 || lease > maximumLeaseMillis)
-            return fmt::format("lease_ms: must be between 1 and {}", maximumLeaseMillis);
-        announcement.record.address = *address;
-        announcement.record.state = *state;
-        announcement.lease = std::chrono::milliseconds(lease);
-        return {};
-    } catch (const Poco::Exception& error) {
-        return error.displayText();
-    }
-}
-
 Poco::JSON::Object::Ptr memberObject(const Wire::MemberRecord& record)
 {
     Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
--- a/lib/Support/Endpoint.cpp
+++ b/lib/Support/Endpoint.cpp
@@ -1,11 +1,27 @@
 #include "balsamreel/Support/Endpoint.h"
 
-#include <Poco/Net/IPAddress.h>
-
+#include <arpa/inet.h>
+#include <array>
 #include <charconv>
 
 namespace balsamreel::Support {
 
+namespace {
+
+// The C library's form is used, since POCO prints some IPv6 numbers in a form that it does not read back.
+std::optional<std::string> normalNumber(const std::string& host)
+{
+    std::array<unsigned char, sizeof(in6_addr)> address{};
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    for (int family : {AF_INET, AF_INET6}) {
+        if (inet_pton(family, host.c_str(), address.data()) == 1)
+            return inet_ntop(family, address.data(), text.data(), text.size());
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
 std::string Endpoint::text() const
 {
     bool isV6 = host.find(':') != std::string::npos;
@@ -26,10 +42,10 @@
     auto [end, error] = std::from_chars(portText.data(), portText.data() + portText.size(), endpoint.port);
     if (error != std::errc() || end != portText.data() + portText.size() || portText.empty())
         return std::nullopt;
-    Poco::Net::IPAddress address;
-    if (!Poco::Net::IPAddress::tryParse(std::string(host), address))
+    auto number = normalNumber(std::string(host));
+    if (!number)
         return std::nullopt;
-    endpoint.host = address.toString();
+    endpoint.host = *number;
     return endpoint;
 }
 
--- a/unittests/Config/FilesTest.cpp
+++ b/unittests/Config/FilesTest.cpp
@@ -36,6 +36,23 @@
     EXPECT_EQ(text({"30-x.toml", "[broken\n", 3}).substr(0, 10), "30-x.toml:");
 }
 
+TEST(MergeFiles, ATableHeaderThatIsNoKeyIsAnError)
+{
+    for (const char* text : {"[%a]\n", "[ =]\n", "[[%a]]\n", "[\xc3\xa9]\n", "["})
+        EXPECT_FALSE(mergeFiles({{"10.toml", text, 1}}).diagnostics.empty()) << text;
+}
+
+TEST(MergeFiles, OtherScriptsMayStandInCommentsAndStringsOnly)
+{
+    auto text = [](const std::string& content) {
+        auto result = mergeFiles({{"10.toml", content, 1}});
+        return result.diagnostics.empty() ? std::string() : result.diagnostics[0].text();
+    };
+    EXPECT_EQ(text("# \xd0\xb0\n[service.catalog] # \xe0\xa6\x95\n"), "");
+    EXPECT_EQ(text("[service.catalog]\n\xd0\xb0 = 1\n"), "10.toml:2:1: only ASCII characters may stand outside strings and comments");
+    EXPECT_EQ(text("[service.\"\xd0\xb0\"]\n"), "");
+}
+
 TEST(Head, SurvivesTheRoundTrip)
 {
     Head head{5, {{"10-services.toml", 7}}, "[service.catalog]\n"};
@@ -46,6 +63,7 @@
     EXPECT_EQ(decoded->mergedText, head.mergedText);
     EXPECT_FALSE(decodeHead("generation = 0"));
     EXPECT_FALSE(decodeHead("not toml ="));
+    EXPECT_FALSE(decodeHead("generation = 5\xd0\xb0\n"));
 }
 
 TEST(FindRoute, LongestPathWins)
