Find out over a new connection what became of an attempt

Cause: an entry whose connection to a guard broke or went silent could only say "unknown" at the deadline, and repeatable work that had run somewhere was called "not run" when the later attempts were refused. Guards kept no answers, scanned all attempts every 10 ms, and leaked slots and attempts on exceptions.

Change: entries query the guard's state of an attempt after 250 ms of silence (intervals double up to 2 s) or when its connection breaks, revoke what has not been dispatched, and fetch the retained answer. Guards read short answers of at-most-once work whole before they send them on, whether or not the entry is still there. Attempts expire in order; a floor per entry refuses copies later than any tombstone and answers "forgotten" in place of "unseen". The lease of a server's announcement is checked before dispatch.

Ruled out: reading "unseen" without a revocation as "not run"; a late copy may still arrive.

--- a/include/balsamreel/Load/Profile.h
+++ b/include/balsamreel/Load/Profile.h
@@ -34,7 +34,7 @@
     std::vector<CallKind> kinds;
 };
 
-/// The profiles that come with the tool: "tengri", "association", "steady", and "idle" whose calls need no work.
+/// The profiles that come with the tool: "orders" of at-most-once calls to one service, "tengri", "association", "steady", and "idle" whose calls need no work.
 std::optional<Profile> findProfile(std::string_view name);
 
 /// Reads "RATE:SECONDS,RATE:SECONDS,..."; nothing if malformed.
--- a/include/balsamreel/Node/Context.h
+++ b/include/balsamreel/Node/Context.h
@@ -25,6 +25,7 @@
     std::string deployment; ///< prefix of this deployment's objects in the store
     Support::Endpoint listen; ///< callers
     Support::Endpoint peer; ///< other nodes, TCP and UDP
+    std::optional<Support::Endpoint> peerBind; ///< where TCP of peer is bound if a relay stands in front of it
     Support::Endpoint admin;
     std::optional<Support::Endpoint> store;
     std::vector<Support::Endpoint> seeds;
--- a/include/balsamreel/Node/Entry.h
+++ b/include/balsamreel/Node/Entry.h
@@ -1,6 +1,7 @@
 // The entry for callers: finds the route, picks a server, sends the attempt to its guard, relays the answer.
 #pragma once
 
+#include "balsamreel/Node/AttemptQuery.h"
 #include "balsamreel/Node/Context.h"
 
 #include <cstdint>
@@ -26,9 +27,11 @@
 
     bool readCall(Call&);
     Step attempt(Call&, const Balance::Choice&);
-    Step onError(Call&, std::error_code, const RequestBody&);
+    Step onError(Call&, std::error_code, Recovery&);
+    Step onVerdict(Call&, const Recovery&, std::error_code);
+    Step deliver(Call&, Exchange&, const Poco::Net::HTTPResponse&, Recovery&);
     Step onRefusal(Call&, Exchange&, const Poco::Net::HTTPResponse&, const RequestBody&);
-    void fillRequest(const Call&, const Balance::Choice&, Poco::Net::HTTPRequest&);
+    SentAttempt fillRequest(const Call&, const Balance::Choice&, Poco::Net::HTTPRequest&);
     void giveUp(Call&, const std::string& reason);
     void sendUnknown(Call&, const std::string& reason);
 
--- a/include/balsamreel/Node/Errors.h
+++ b/include/balsamreel/Node/Errors.h
@@ -10,7 +10,8 @@
     TimedOut, ///< the deadline passed without an answer
     CallerLeft, ///< the caller closed its connection while waiting
     AnswerCut, ///< the answer began but did not end
-    RequestCut ///< the caller's request did not end
+    RequestCut, ///< the caller's request did not end
+    Superseded ///< the check learned over another connection how the request ended
 };
 
 std::error_code make_error_code(ExchangeError);
--- a/include/balsamreel/Node/Exchange.h
+++ b/include/balsamreel/Node/Exchange.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -26,6 +27,8 @@
 class Session : public Poco::Net::HTTPClientSession {
 public:
     using Poco::Net::HTTPClientSession::HTTPClientSession;
+
+    /// Takes parts of a body; false stops the reading.
     using Sink = std::function<bool(const char* data, std::size_t size)>;
 
     /// Reads the body of the answer just received; AnswerCut if it is not whole.
@@ -34,6 +37,9 @@
     /// The peer has closed the idle connection, or sent something unasked.
     bool isStale();
 
+protected:
+    void connect(const Poco::Net::SocketAddress&) override;
+
 private:
     std::error_code readFixed(std::uint64_t length, const Sink&);
     std::error_code readChunked(const Sink&);
@@ -57,6 +63,9 @@
     std::unique_ptr<Session> open(const Support::Endpoint&) const;
     void release(Support::Instant now, const Support::Endpoint&, std::unique_ptr<Session>);
 
+    /// Closes the idle connections to an address at which one has been found silent or broken.
+    void discard(const Support::Endpoint&);
+
     /// Closes what has been idle too long.
     void tick(Support::Instant now);
     std::size_t idleCount() const;
@@ -113,6 +122,10 @@
     bool holdsBody = false; ///< a long body is sent only after the target's "100 Continue"
     bool isFreshConnection = false; ///< use no idle connection
     Poco::Net::StreamSocket* caller = nullptr; ///< watched while waiting; null: not watched
+    Support::Duration checkAfter{}; ///< silence before the first check
+    std::function<std::optional<Support::Duration>()> check; ///< gives the silence before the next one, or nothing to stop waiting
+    Support::Duration reuseSilence{}; ///< longest wait on a connection that was idle before; zero: until the deadline
+    Support::Duration bodySilence = std::chrono::seconds(5); ///< longest silence in mid-body, if more than the time left
 };
 
 /// Sends a request and receives the head of the answer; then relay() streams the body.
@@ -142,6 +155,7 @@
     ExchangeOptions options_;
     std::unique_ptr<Session> session_;
     bool wasSent_ = false;
+    bool isReused_ = false;
 };
 
 /// The socket behind a server's request.
--- a/include/balsamreel/Node/Guard.h
+++ b/include/balsamreel/Node/Guard.h
@@ -37,6 +37,9 @@
     /// Handles one attempt.
     void handle(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
 
+    /// Answers a query for the state of an attempt.
+    void handleQuery(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
+
     /// Refuses all new work from now on.
     void drainAll();
 
@@ -54,12 +57,16 @@
         std::map<std::uint64_t, Waiter*> waiters;
     };
     struct Call; ///< one attempt on its way through the guard
+    class Settlement; ///< settles an attempt and frees its slot, whatever way its handler ends
 
     std::optional<Call> readCall(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
     Admission::Decision admit(Call&, Poco::Net::HTTPServerRequest&);
     bool dispatch(const Call&);
     void run(Call&, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
     void finish(Call&, bool hasSucceeded);
+    void settle(Call&);
+    void onServerError(const Call&, std::error_code, Poco::Net::HTTPServerResponse&);
+    void relayRetained(const Call&, Exchange&, const Poco::Net::HTTPResponse&, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
     void refuse(const Call&, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&, const Admission::Refused&);
     void setStamp(const Call&, Poco::Net::HTTPServerResponse&);
     static void wake(LocalServer&, const std::vector<Admission::Resolution>&);
--- a/include/balsamreel/Once/AttemptTable.h
+++ b/include/balsamreel/Once/AttemptTable.h
@@ -21,10 +21,11 @@
     Done, ///< the server's answer is there
     Refused, ///< was refused; never ran
     Revoked, ///< the entry took it back before it ran; a late copy is refused
-    Lost ///< dispatched, but the server's answer was lost; may have run
+    Lost, ///< dispatched, but the server's answer was lost; may have run
+    Forgotten ///< older than what the guard remembers; may have run
 };
 
-constexpr Support::NameTable<AttemptState, 7> attemptStateNames{{{AttemptState::Unseen, "unseen"}, {AttemptState::Offered, "offered"}, {AttemptState::Dispatched, "dispatched"}, {AttemptState::Done, "done"}, {AttemptState::Refused, "refused"}, {AttemptState::Revoked, "revoked"}, {AttemptState::Lost, "lost"}}};
+constexpr Support::NameTable<AttemptState, 8> attemptStateNames{{{AttemptState::Unseen, "unseen"}, {AttemptState::Offered, "offered"}, {AttemptState::Dispatched, "dispatched"}, {AttemptState::Done, "done"}, {AttemptState::Refused, "refused"}, {AttemptState::Revoked, "revoked"}, {AttemptState::Lost, "lost"}, {AttemptState::Forgotten, "forgotten"}}};
 
 /// An answer kept for the entry or for a caller's repeat.
 struct RetainedAnswer {
@@ -35,6 +36,7 @@
 
 struct AttemptTableOptions {
     Support::Duration retention = std::chrono::seconds(60); ///< after the attempt's deadline
+    Support::Duration floorLife = std::chrono::hours(1); ///< of the floor of an entry that has sent nothing since
     std::size_t maximumRetainedBytes = 4 * 1024 * 1024; ///< of all kept answers
     std::size_t maximumAnswerBytes = 64 * 1024; ///< of one; a longer one is not kept
 };
@@ -47,7 +49,7 @@
     {
     }
 
-    /// Takes a new attempt in; false if it is known already, be it revoked or run.
+    /// Takes a new attempt in; false if it is known already, be it revoked or run, or older than one forgotten.
     bool offer(Support::Instant now, const Wire::AttemptId&, Support::Instant deadline);
 
     /// Asked right before the work is sent to the server; false if it must not be sent.
@@ -57,7 +59,10 @@
 
     /// A dispatched attempt turned out not to have reached the server at all.
     void withdraw(const Wire::AttemptId&);
+
+    /// A dispatched attempt's answer is whole; the second form keeps none.
     void finish(const Wire::AttemptId&, RetainedAnswer);
+    void finish(const Wire::AttemptId&);
     void lose(const Wire::AttemptId&);
 
     /// Takes an attempt back if it has not been dispatched; gives the state that holds from now on.
@@ -68,7 +73,10 @@
     /// The kept answer of a Done attempt; null if it was too large or has been dropped.
     std::shared_ptr<const RetainedAnswer> answer(const Wire::AttemptId&) const;
 
-    /// Forgets what is past its retention.
+    /// Settles an attempt whose handler ends: an offered one is refused, a dispatched one is lost.
+    void settle(const Wire::AttemptId&);
+
+    /// Forgets what is past its retention; costs nothing for attempts that are not.
     void tick(Support::Instant now);
 
     std::size_t size() const { return attempts_.size(); }
@@ -82,8 +90,23 @@
         std::shared_ptr<const RetainedAnswer> answer;
     };
 
+    /// The highest counter forgotten of one entry's incarnation; what is not above it is never new.
+    struct Floor {
+        std::uint64_t counter = 0;
+        Support::Instant end;
+    };
+
+    Attempt* find(const Wire::AttemptId&, AttemptState);
+    std::pair<Attempt*, bool> insert(const Wire::AttemptId&, AttemptState, Support::Instant deadline);
+    bool isForgotten(const Wire::AttemptId&) const;
+    void forget(Support::Instant now, const Wire::AttemptId&);
+    void sweepFloors(Support::Instant now);
+
     AttemptTableOptions options_;
     std::map<Wire::AttemptId, Attempt> attempts_;
+    std::multimap<Support::Instant, Wire::AttemptId> expiries_;
+    std::map<std::uint64_t, Floor> floors_; ///< by the entry's incarnation
+    Support::Instant nextSweep_;
     std::size_t retainedBytes_ = 0;
 };
 
--- /dev/null
+++ b/include/balsamreel/Standins/FakeLink.h
@@ -0,0 +1,78 @@
+// A TCP relay whose open connections can be made silent while new ones work.
+#pragma once
+
+#include "balsamreel/Support/Endpoint.h"
+#include "balsamreel/Support/Random.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+struct pollfd;
+
+namespace balsamreel::Standins {
+
+/// A listening address and where its connections lead.
+struct LinkRoute {
+    Support::Endpoint listen;
+    Support::Endpoint target;
+};
+
+/// Reads "LISTEN=TARGET"; nothing if malformed.
+std::optional<LinkRoute> parseLinkRoute(const std::string&);
+
+/// Relays bytes on one thread. A silenced connection stays open and carries nothing any more, not even its end.
+class FakeLink {
+public:
+    /// Throws Poco::Net::NetException if an address can't be bound.
+    FakeLink(std::vector<LinkRoute>, std::uint64_t seed);
+    ~FakeLink();
+    FakeLink(const FakeLink&) = delete;
+    FakeLink& operator=(const FakeLink&) = delete;
+
+    void start();
+
+    /// Silences a share of the connections open now, of all routes or of one; gives their number.
+    std::size_t silence(double share, std::optional<std::size_t> route);
+
+private:
+    /// Bytes on their way in one direction.
+    struct Flow {
+        std::string pending;
+        bool hasEnded = false;
+        bool wasShut = false;
+    };
+    struct Connection {
+        std::size_t route = 0;
+        std::array<Poco::Net::StreamSocket, 2> ends; ///< the connecting one and the target's
+        std::array<Flow, 2> flows; ///< by the end that they come from
+        bool isSilent = false;
+        bool isBroken = false;
+    };
+
+    void run();
+    void accept(std::size_t route);
+    static void receive(Connection&, std::size_t from);
+    static void send(Connection&, std::size_t from);
+    static bool isOver(const Connection&);
+    std::vector<pollfd> watched() const;
+    void serve(Connection&, const pollfd* polled);
+
+    std::vector<LinkRoute> routes_;
+    std::vector<Poco::Net::ServerSocket> listeners_;
+    std::mutex mutex_;
+    std::vector<Connection> connections_;
+    Support::Random random_;
+    std::atomic<bool> isEnding_{false};
+    std::thread thread_;
+};
+
+} // namespace balsamreel::Standins
--- a/include/balsamreel/Standins/FakeServer.h
+++ b/include/balsamreel/Standins/FakeServer.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -18,6 +19,7 @@
 
 struct FakeServerOptions {
     Support::Endpoint listen;
+    std::optional<Support::Endpoint> announced; ///< if a relay stands in front of it
     Support::Endpoint nodeAdmin; ///< where it announces itself
     std::string service;
     unsigned slots = 8;
--- a/include/balsamreel/Wire/Headers.h
+++ b/include/balsamreel/Wire/Headers.h
@@ -26,6 +26,9 @@
 constexpr const char* guardHeader = "X-Balsam-Guard"; ///< incarnation of the guard meant; another one refuses
 constexpr const char* holdBodyHeader = "X-Balsam-Hold-Body"; ///< the body follows after "100 Continue"
 constexpr const char* atMostOnceHeader = "X-Balsam-At-Most-Once";
+constexpr const char* queryHeader = "X-Balsam-Query"; ///< asks for the state of an attempt: "state" or "revoke"
+constexpr const char* attemptStateHeader = "X-Balsam-Attempt-State"; ///< the answer to a query
+constexpr const char* retainedHeader = "X-Balsam-Retained"; ///< status of the retained answer that the body holds
 constexpr const char* workClassHeader = "X-Balsam-Class";
 constexpr const char* idempotencyKeyHeader = "Idempotency-Key";
 
--- a/lib/Load/Profile.cpp
+++ b/lib/Load/Profile.cpp
@@ -15,6 +15,12 @@
     return {
         {"idle", std::vector{CallKind{.name = "specs", .path = "/catalog/specs"}}},
         {"steady", {{.name = "specs", .path = "/catalog/specs", .work = milliseconds(4)}}},
+        {"orders",
+            {
+                {.name = "release", .method = "POST", .path = "/batch/release", .share = 50, .work = milliseconds(6), .isAtMostOnce = true, .requestBytes = 256},
+                {.name = "coating", .method = "POST", .path = "/batch/coating", .share = 2, .work = milliseconds(300), .isLong = true, .isAtMostOnce = true, .answerBytes = 128 * 1024, .requestBytes = 128 * 1024},
+                {.name = "fixtures", .path = "/batch/fixtures", .share = 48, .work = milliseconds(4)},
+            }},
         {"tengri",
             {
                 {.name = "specs", .path = "/catalog/specs", .share = 45, .work = milliseconds(4)},
--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "balsamreel/Support/Log.h"
 #include "balsamreel/Support/Random.h"
+#include "balsamreel/Wire/Headers.h"
 
 namespace balsamreel::Node {
 
@@ -38,7 +39,7 @@
     , callers_(
           context_.settings.listen, [this](auto& request, auto& response) { entry_.handle(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
     , peers_(
-          context_.settings.peer, [this](auto& request, auto& response) { handlePeer(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
+          context_.settings.peerBind.value_or(context_.settings.peer), [this](auto& request, auto& response) { handlePeer(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
     , operators_(
           context_.settings.admin, [this](auto& request, auto& response) { admin_.handle(request, response); }, connectionLimit(adminConnections))
 {
@@ -69,6 +70,9 @@
 
 void Daemon::handlePeer(HTTPServerRequest& request, HTTPServerResponse& response)
 {
+    // Callers can't set this header: entries strip the system's own ones.
+    if (request.has(Wire::queryHeader))
+        return guard_.handleQuery(request, response);
     if (request.getURI() != "/balsam/head" || request.has("X-Balsam-Attempt"))
         return guard_.handle(request, response);
     auto active = context_.config.get();
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -1,5 +1,6 @@
 #include "balsamreel/Node/Entry.h"
 
+#include "balsamreel/Node/AnswerCapture.h"
 #include "balsamreel/Support/Http.h"
 #include "balsamreel/Wire/Headers.h"
 
@@ -55,6 +56,8 @@
     std::string lastRefusal = "no-server";
     Duration retryAfter{};
     unsigned attempts = 0;
+    bool isAtMostOnce = false;
+    bool mayHaveRun = false; ///< an attempt of repeatable work was sent and its outcome is not known
 };
 
 bool Entry::readCall(Call& call)
@@ -72,6 +75,7 @@
     if (!call.route)
         return refuse(HTTPResponse::HTTP_NOT_FOUND, "no-route");
     call.service = &configuration.services.at(call.route->service);
+    call.isAtMostOnce = call.route->isAtMostOnce;
     call.startedAt = monotonicNow();
     auto allowed = call.route->deadline > Duration::zero() ? call.route->deadline : call.service->deadline;
     if (auto remaining = numberHeader(call.request, Wire::remainingHeader))
@@ -87,7 +91,7 @@
     return true;
 }
 
-void Entry::fillRequest(const Call& call, const Balance::Choice& choice, HTTPRequest& request)
+SentAttempt Entry::fillRequest(const Call& call, const Balance::Choice& choice, HTTPRequest& request)
 {
     copyHeaders(call.request, request);
     Wire::AttemptId attempt{context_.attemptIncarnation, context_.nextAttempt++};
@@ -101,14 +105,17 @@
     request.set(Wire::callerHeader, call.request.clientAddress().host().toString());
     request.set(Wire::routeHeader, call.route->name);
     request.set(Wire::workClassHeader, std::string(Support::nameOf(Config::workClassNames, call.route->workClass)));
-    if (call.route->isAtMostOnce)
+    if (call.isAtMostOnce)
         request.set(Wire::atMostOnceHeader, "1");
     if (!call.body.isWhole())
         request.set(Wire::holdBodyHeader, "1");
+    return {attempt, choice.guard, choice.guardIncarnation, call.deadline};
 }
 
 void Entry::giveUp(Call& call, const std::string& reason)
 {
+    if (call.mayHaveRun)
+        return sendUnknown(call, reason);
     context_.metrics.add(fmt::format("balsam_entry_not_run_total{{reason=\"{}\"}}", reason));
     sendNotRun(call.response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, call.retryAfter, !call.body.isWhole());
 }
@@ -122,19 +129,68 @@
     Support::sendText(call.response, HTTPResponse::HTTP_GATEWAY_TIMEOUT, "text/plain", "outcome unknown: " + reason + "\n");
 }
 
-Entry::Step Entry::onError(Call& call, std::error_code error, const RequestBody& body)
+Entry::Step Entry::onVerdict(Call& call, const Recovery& recovery, std::error_code error)
+{
+    context_.metrics.add("balsam_entry_recovered_total");
+    if (recovery.verdict() == Once::Verdict::Deliver) {
+        call.response.set(Wire::outcomeHeader, std::string(Support::nameOf(Wire::outcomeNames, Wire::Outcome::Ran)));
+        call.response.set(Wire::callHeader, call.callId);
+        sendRetained(recovery.answer(), call.response);
+        return Step::Answered;
+    }
+    if (recovery.verdict() == Once::Verdict::Repeat) {
+        call.lastRefusal = "unreachable";
+        call.mayHaveRun = call.mayHaveRun || !call.isAtMostOnce;
+        if (!call.body.isSpent())
+            return Step::TryAnother;
+        giveUp(call, call.lastRefusal);
+        return Step::Answered;
+    }
+    sendUnknown(call, error.message());
+    return Step::Answered;
+}
+
+Entry::Step Entry::onError(Call& call, std::error_code error, Recovery& recovery)
 {
     if (error == ExchangeError::CallerLeft || error == ExchangeError::RequestCut)
         return Step::Answered;
-    bool mayRepeat = error == ExchangeError::Unreachable || !call.route->isAtMostOnce;
-    if (mayRepeat && !body.isSpent() && error != ExchangeError::TimedOut) {
+    if (error == ExchangeError::Unreachable) {
         call.lastRefusal = "unreachable";
         return Step::TryAnother;
     }
+    if (call.isAtMostOnce)
+        recovery.settle();
+    if (call.isAtMostOnce || error == ExchangeError::Superseded)
+        return onVerdict(call, recovery, error);
+    call.mayHaveRun = true;
+    if (!call.body.isSpent() && error != ExchangeError::TimedOut)
+        return Step::TryAnother;
     sendUnknown(call, error.message());
     return Step::Answered;
 }
 
+// The guard keeps short answers of at-most-once work, so that one which is cut on the way is fetched again. For this
+// it is read whole before its head goes to the caller.
+Entry::Step Entry::deliver(Call& call, Exchange& exchange, const HTTPResponse& answer, Recovery& recovery)
+{
+    call.response.set(Wire::callHeader, call.callId);
+    call.response.set(Wire::serverHeader, answer.get(Wire::serverHeader, ""));
+    if (!call.isAtMostOnce) {
+        call.response.set(Wire::outcomeHeader, outcomeOf(answer));
+        relayAnswer(exchange, answer, call.request, call.response);
+        return Step::Answered;
+    }
+    AnswerCapture capture(answer, call.request, call.response, Once::AttemptTableOptions().maximumAnswerBytes);
+    call.response.set(Wire::outcomeHeader, outcomeOf(answer));
+    auto error = capture.read(exchange);
+    if (error && capture.isWhole()) {
+        recovery.settle();
+        return onVerdict(call, recovery, error);
+    }
+    capture.send(error);
+    return Step::Answered;
+}
+
 Entry::Step Entry::onRefusal(Call& call, Exchange& exchange, const HTTPResponse& answer, const RequestBody& body)
 {
     call.lastRefusal = answer.get(Wire::reasonHeader, "refused");
@@ -149,9 +205,12 @@
 Entry::Step Entry::attempt(Call& call, const Balance::Choice& choice)
 {
     HTTPRequest request(call.request.getMethod(), call.request.getURI(), HTTPRequest::HTTP_1_1);
-    fillRequest(call, choice, request);
+    Recovery recovery(context_, fillRequest(call, choice, request), call.isAtMostOnce);
     auto sentAt = monotonicNow();
-    Exchange exchange(context_.pool, {.target = choice.guard, .deadline = call.deadline, .holdsBody = !call.body.isWhole(), .isFreshConnection = false, .caller = &socketOf(call.request)});
+    ExchangeOptions options{.target = choice.guard, .deadline = call.deadline, .holdsBody = !call.body.isWhole(), .caller = &socketOf(call.request)};
+    options.checkAfter = recovery.nextCheck();
+    options.check = [&] { return recovery.check(); };
+    Exchange exchange(context_.pool, std::move(options));
     HTTPResponse answer;
     auto error = exchange.start(request, call.body, answer);
 
@@ -170,16 +229,18 @@
         std::lock_guard lock(context_.balancerMutex);
         context_.balancer.finished(monotonicNow(), choice.server, feedback);
     }
-    if (error)
-        return onError(call, error, call.body);
+    if (error) {
+        context_.pool.discard(choice.guard);
+        return onError(call, error, recovery);
+    }
     if (isRefused)
         return onRefusal(call, exchange, answer, call.body);
-
-    call.response.set(Wire::outcomeHeader, outcomeOf(answer));
-    call.response.set(Wire::callHeader, call.callId);
-    call.response.set(Wire::serverHeader, answer.get(Wire::serverHeader, ""));
-    relayAnswer(exchange, answer, call.request, call.response);
-    return Step::Answered;
+    bool isUnknown = outcomeOf(answer) == Support::nameOf(Wire::outcomeNames, Wire::Outcome::Unknown);
+    if (isUnknown && !call.isAtMostOnce && !call.body.isSpent()) {
+        call.mayHaveRun = true;
+        return onRefusal(call, exchange, answer, call.body);
+    }
+    return deliver(call, exchange, answer, recovery);
 }
 
 void Entry::handle(HTTPServerRequest& request, HTTPServerResponse& response)
--- a/lib/Node/Errors.cpp
+++ b/lib/Node/Errors.cpp
@@ -22,6 +22,8 @@
             return "the answer was cut";
         case ExchangeError::RequestCut:
             return "the request was cut";
+        case ExchangeError::Superseded:
+            return "the outcome was learned over another connection";
         }
         return "unknown exchange error";
     }
--- a/lib/Node/Exchange.cpp
+++ b/lib/Node/Exchange.cpp
@@ -54,6 +54,12 @@
     }
 }
 
+void Session::connect(const Poco::Net::SocketAddress& address)
+{
+    HTTPClientSession::connect(address);
+    Support::boundSilence(socket());
+}
+
 bool Session::isStale()
 {
     return !connected() || buffered() > 0 || socket().poll(Poco::Timespan(0), Socket::SELECT_READ);
@@ -190,6 +196,15 @@
         idle.push_back({std::move(session), now});
 }
 
+void ConnectionPool::discard(const Support::Endpoint& endpoint)
+{
+    std::list<Idle> discarded;
+    std::lock_guard lock(mutex_);
+    auto found = idle_.find(endpoint);
+    if (found != idle_.end())
+        discarded.swap(found->second);
+}
+
 void ConnectionPool::tick(Instant now)
 {
     std::lock_guard lock(mutex_);
@@ -275,8 +290,8 @@
 
 void Exchange::setReceiveTimeout()
 {
-    constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
-    session_->socket().setReceiveTimeout(timespanOf(std::max(shortestTimeout, options_.deadline - monotonicNow())));
+    // A body that has begun may end after the deadline, as long as it goes on.
+    session_->socket().setReceiveTimeout(timespanOf(std::max(options_.bodySilence, options_.deadline - monotonicNow())));
 }
 
 std::error_code Exchange::waitReadable()
@@ -290,11 +305,22 @@
         descriptors[callerIndex] = {options_.caller->impl()->sockfd(), POLLIN, 0};
         watched = 2;
     }
+    bool mayBeSilent = isReused_ && options_.reuseSilence > Duration::zero();
+    bool hasCheck = options_.check || mayBeSilent;
+    auto nextCheck = hasCheck ? monotonicNow() + (options_.check ? options_.checkAfter : options_.reuseSilence) : options_.deadline;
     while (true) {
-        auto left = std::chrono::ceil<std::chrono::milliseconds>(options_.deadline - monotonicNow());
-        if (left <= left.zero())
+        auto now = monotonicNow();
+        if (now >= options_.deadline)
             return ExchangeError::TimedOut;
-        if (::poll(descriptors.data(), watched, static_cast<int>(left.count())) <= 0)
+        auto left = std::chrono::ceil<std::chrono::milliseconds>(std::min(options_.deadline, nextCheck) - now);
+        int ready = left > left.zero() ? ::poll(descriptors.data(), watched, static_cast<int>(left.count())) : 0;
+        if (ready <= 0 && hasCheck && monotonicNow() >= nextCheck) {
+            auto interval = options_.check ? options_.check() : std::nullopt;
+            if (!interval)
+                return ExchangeError::Superseded;
+            nextCheck = monotonicNow() + *interval;
+        }
+        if (ready <= 0)
             continue;
         if (descriptors[answerIndex].revents != 0)
             return {};
@@ -335,6 +361,7 @@
 {
     auto now = monotonicNow();
     session_ = options_.isFreshConnection ? pool_.open(options_.target) : pool_.acquire(now, options_.target);
+    isReused_ = session_->connected();
     body.describe(request);
     try {
         return sendAndWait(request, body, response);
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -1,5 +1,7 @@
 #include "balsamreel/Node/Guard.h"
 
+#include "balsamreel/Node/AnswerCapture.h"
+#include "balsamreel/Node/AttemptQuery.h"
 #include "balsamreel/Support/Http.h"
 #include "balsamreel/Support/Log.h"
 #include "balsamreel/Wire/Headers.h"
@@ -8,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace balsamreel::Node {
 
@@ -24,6 +27,8 @@
 constexpr Duration defaultRemaining = std::chrono::seconds(10);
 constexpr Duration maximumRemaining = std::chrono::hours(1);
 constexpr Duration waitSlice = std::chrono::milliseconds(50);
+// An idle connection may have gone silent; repeatable work is sent again once over a new one.
+constexpr Duration reuseSilence = std::chrono::milliseconds(1000);
 constexpr std::uint64_t maximumDepth = 64;
 constexpr int firstServerError = 500;
 
@@ -64,9 +69,26 @@
     Admission::Ticket ticket;
     bool isAtMostOnce = false;
     bool holdsBody = false;
+    bool holdsSlot = false; ///< admitted by the gate and not yet finished
     std::unique_ptr<RequestBody> body;
 };
 
+class Guard::Settlement {
+public:
+    Settlement(Guard& guard, Call& call)
+        : guard_(guard)
+        , call_(call)
+    {
+    }
+    ~Settlement() { guard_.settle(call_); }
+    Settlement(const Settlement&) = delete;
+    Settlement& operator=(const Settlement&) = delete;
+
+private:
+    Guard& guard_;
+    Call& call_;
+};
+
 Admission::GateOptions Guard::gateOptions(const Wire::ServerRecord& record) const
 {
     Admission::GateOptions options;
@@ -227,8 +249,23 @@
     sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, refusal.expectedWait, isBodyUnread);
 }
 
+void Guard::settle(Call& call)
+{
+    finish(call, false);
+    std::lock_guard lock(mutex_);
+    attempts_.settle(call.attempt);
+}
+
+void Guard::handleQuery(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    context_.metrics.add("balsam_guard_queries_total");
+    answerQuery(mutex_, attempts_, context_.incarnation, request, response);
+}
+
 void Guard::finish(Call& call, bool hasSucceeded)
 {
+    if (!std::exchange(call.holdsSlot, false))
+        return;
     std::lock_guard lock(mutex_);
     auto found = servers_.find(call.server);
     if (found != servers_.end())
@@ -238,20 +275,21 @@
 bool Guard::dispatch(const Call& call)
 {
     std::lock_guard lock(mutex_);
-    return attempts_.dispatch(monotonicNow(), call.attempt);
+    auto now = monotonicNow();
+    auto found = servers_.find(call.server);
+    // After a pause the lease of the server's announcement may have lapsed, and the server may be another one.
+    bool isAnnounced = found != servers_.end() && now < found->second.leaseEnd;
+    if (!isAnnounced)
+        attempts_.refuse(call.attempt);
+    return isAnnounced && attempts_.dispatch(now, call.attempt);
 }
 
 void Guard::run(Call& call, HTTPServerRequest& request, HTTPServerResponse& response)
 {
     if (call.holdsBody)
         response.sendContinue();
-    else if (auto error = call.body->readFirst()) {
-        // The entry was cut off while it sent the body; the server has seen nothing.
-        finish(call, false);
-        std::lock_guard lock(mutex_);
-        attempts_.refuse(call.attempt);
-        return;
-    }
+    else if (call.body->readFirst())
+        return; // The entry was cut off while it sent the body; the server has seen nothing.
     if (!dispatch(call)) {
         finish(call, false);
         return refuse(call, request, response, {Admission::RefusalReason::DeadlineTooNear, {}});
@@ -263,11 +301,39 @@
     outgoing.set(Wire::depthHeader, std::to_string(call.ticket.depth + 1));
     outgoing.set(Wire::remainingHeader, std::to_string(remaining.count()));
 
-    Exchange exchange(context_.pool, {.target = call.server, .deadline = call.ticket.deadline, .isFreshConnection = call.isAtMostOnce, .caller = &socketOf(request)});
+    // At-most-once work goes on without its entry, which may come back for the answer.
+    auto* watched = call.isAtMostOnce ? nullptr : &socketOf(request);
+    // Opening a connection costs little beside long work, which could not be told from a silent connection.
+    bool isFresh = call.isAtMostOnce || call.ticket.hint == Admission::LaneHint::Long;
+    ExchangeOptions options{.target = call.server, .deadline = call.ticket.deadline, .isFreshConnection = isFresh, .caller = watched, .reuseSilence = reuseSilence};
+    std::optional<Exchange> exchange(std::in_place, context_.pool, options);
     HTTPResponse answer;
-    auto error = exchange.start(outgoing, *call.body, answer);
+    auto error = exchange->start(outgoing, *call.body, answer);
+    if (error == ExchangeError::Superseded && !call.body->isSpent()) {
+        context_.pool.discard(call.server);
+        context_.metrics.add("balsam_guard_silent_connections_total");
+        options.isFreshConnection = true;
+        exchange.emplace(context_.pool, options);
+        error = exchange->start(outgoing, *call.body, answer);
+    }
     finish(call, !error && answer.getStatus() < firstServerError);
-    if (error) {
+    if (error)
+        return onServerError(call, error, response);
+    response.set(Wire::outcomeHeader, outcomeName(Wire::Outcome::Ran));
+    response.set(Wire::serverHeader, call.server.text());
+    setStamp(call, response);
+    if (call.isAtMostOnce)
+        return relayRetained(call, *exchange, answer, request, response);
+    if (relayAnswer(*exchange, answer, request, response))
+        return;
+    std::lock_guard lock(mutex_);
+    attempts_.finish(call.attempt);
+}
+
+void Guard::onServerError(const Call& call, std::error_code error, HTTPServerResponse& response)
+{
+    context_.pool.discard(call.server);
+    {
         std::lock_guard lock(mutex_);
         if (error == ExchangeError::Unreachable)
             attempts_.withdraw(call.attempt);
@@ -278,14 +344,25 @@
         return;
     if (error == ExchangeError::Unreachable)
         return sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "server-unreachable", Duration::zero(), false);
-    if (error)
+    sendUnknown(response, error.message());
+}
+
+void Guard::relayRetained(const Call& call, Exchange& exchange, const HTTPResponse& answer, HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    AnswerCapture capture(answer, request, response, attempts_.options().maximumAnswerBytes);
+    auto error = capture.read(exchange);
+    {
+        std::lock_guard lock(mutex_);
+        if (error)
+            attempts_.lose(call.attempt);
+        else if (capture.isWhole())
+            attempts_.finish(call.attempt, capture.answer());
+        else
+            attempts_.finish(call.attempt);
+    }
+    if (error && capture.isWhole())
         return sendUnknown(response, error.message());
-    response.set(Wire::outcomeHeader, outcomeName(Wire::Outcome::Ran));
-    response.set(Wire::serverHeader, call.server.text());
-    setStamp(call, response);
-    relayAnswer(exchange, answer, request, response);
-    std::lock_guard lock(mutex_);
-    attempts_.finish(call.attempt, {});
+    capture.send(error);
 }
 
 void Guard::handle(HTTPServerRequest& request, HTTPServerResponse& response)
@@ -297,11 +374,16 @@
     {
         std::unique_lock lock(mutex_);
         if (!attempts_.offer(monotonicNow(), call->attempt, call->ticket.deadline)) {
+            auto state = attempts_.state(call->attempt);
             lock.unlock();
             context_.metrics.add("balsam_guard_duplicates_total");
+            bool hasNotRun = state == Once::AttemptState::Revoked || state == Once::AttemptState::Refused;
+            if (hasNotRun)
+                return sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "revoked", Duration::zero(), true);
             return sendUnknown(response, "duplicate attempt");
         }
     }
+    Settlement settlement(*this, *call);
     auto decision = admit(*call, request);
     if (const auto* refused = std::get_if<Admission::Refused>(&decision)) {
         {
@@ -310,6 +392,7 @@
         }
         return refuse(*call, request, response, *refused);
     }
+    call->holdsSlot = true;
     run(*call, request, response);
 }
 
--- a/lib/Once/AttemptTable.cpp
+++ b/lib/Once/AttemptTable.cpp
@@ -1,76 +1,124 @@
 #include "balsamreel/Once/AttemptTable.h"
 
+#include <algorithm>
+
 namespace balsamreel::Once {
 
 using Support::Instant;
 using Wire::AttemptId;
 
+namespace {
+
+constexpr Support::Duration sweepInterval = std::chrono::minutes(1);
+
+std::size_t bytesOf(const RetainedAnswer& answer)
+{
+    auto bytes = answer.body.size();
+    for (const auto& [name, value] : answer.headers)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
+} // namespace
+
+AttemptTable::Attempt* AttemptTable::find(const AttemptId& id, AttemptState state)
+{
+    auto found = attempts_.find(id);
+    return found != attempts_.end() && found->second.state == state ? &found->second : nullptr;
+}
+
+std::pair<AttemptTable::Attempt*, bool> AttemptTable::insert(const AttemptId& id, AttemptState state, Instant deadline)
+{
+    auto [entry, isNew] = attempts_.try_emplace(id, Attempt{state, deadline, nullptr});
+    if (isNew)
+        expiries_.emplace(deadline + options_.retention, id);
+    return {&entry->second, isNew};
+}
+
+bool AttemptTable::isForgotten(const AttemptId& id) const
+{
+    auto floor = floors_.find(id.incarnation);
+    return floor != floors_.end() && id.counter <= floor->second.counter;
+}
+
 bool AttemptTable::offer(Instant, const AttemptId& id, Instant deadline)
 {
-    return attempts_.try_emplace(id, Attempt{AttemptState::Offered, deadline, nullptr}).second;
+    if (isForgotten(id))
+        return false;
+    return insert(id, AttemptState::Offered, deadline).second;
 }
 
 bool AttemptTable::dispatch(Instant now, const AttemptId& id)
 {
-    auto found = attempts_.find(id);
-    if (found == attempts_.end() || found->second.state != AttemptState::Offered)
+    auto* attempt = find(id, AttemptState::Offered);
+    if (!attempt)
         return false;
     // A process that was paused wakes here with a deadline that has passed.
-    if (found->second.deadline <= now) {
-        found->second.state = AttemptState::Refused;
-        return false;
-    }
-    found->second.state = AttemptState::Dispatched;
-    return true;
+    bool isInTime = now < attempt->deadline;
+    attempt->state = isInTime ? AttemptState::Dispatched : AttemptState::Refused;
+    return isInTime;
 }
 
 void AttemptTable::refuse(const AttemptId& id)
 {
-    auto found = attempts_.find(id);
-    if (found != attempts_.end() && found->second.state == AttemptState::Offered)
-        found->second.state = AttemptState::Refused;
+    if (auto* attempt = find(id, AttemptState::Offered))
+        attempt->state = AttemptState::Refused;
 }
 
 void AttemptTable::withdraw(const AttemptId& id)
 {
-    auto found = attempts_.find(id);
-    if (found != attempts_.end() && found->second.state == AttemptState::Dispatched)
-        found->second.state = AttemptState::Refused;
+    if (auto* attempt = find(id, AttemptState::Dispatched))
+        attempt->state = AttemptState::Refused;
+}
+
+void AttemptTable::finish(const AttemptId& id)
+{
+    if (auto* attempt = find(id, AttemptState::Dispatched))
+        attempt->state = AttemptState::Done;
 }
 
 void AttemptTable::finish(const AttemptId& id, RetainedAnswer answer)
 {
-    auto found = attempts_.find(id);
-    if (found == attempts_.end())
+    auto* attempt = find(id, AttemptState::Dispatched);
+    if (!attempt)
         return;
-    found->second.state = AttemptState::Done;
-    auto size = answer.body.size();
+    attempt->state = AttemptState::Done;
+    auto size = bytesOf(answer);
     if (size > options_.maximumAnswerBytes || retainedBytes_ + size > options_.maximumRetainedBytes)
         return;
     retainedBytes_ += size;
-    found->second.answer = std::make_shared<const RetainedAnswer>(std::move(answer));
+    attempt->answer = std::make_shared<const RetainedAnswer>(std::move(answer));
 }
 
 void AttemptTable::lose(const AttemptId& id)
 {
-    auto found = attempts_.find(id);
-    if (found != attempts_.end() && found->second.state == AttemptState::Dispatched)
-        found->second.state = AttemptState::Lost;
+    if (auto* attempt = find(id, AttemptState::Dispatched))
+        attempt->state = AttemptState::Lost;
+}
+
+void AttemptTable::settle(const AttemptId& id)
+{
+    refuse(id);
+    lose(id);
 }
 
 AttemptState AttemptTable::revoke(Instant, const AttemptId& id, Instant deadline)
 {
+    if (!attempts_.contains(id) && isForgotten(id))
+        return AttemptState::Forgotten;
     // An unseen attempt is entered as revoked, so that a copy still on its way is refused.
-    auto& attempt = attempts_.try_emplace(id, Attempt{AttemptState::Revoked, deadline, nullptr}).first->second;
-    if (attempt.state == AttemptState::Offered)
-        attempt.state = AttemptState::Revoked;
-    return attempt.state;
+    auto* attempt = insert(id, AttemptState::Revoked, deadline).first;
+    if (attempt->state == AttemptState::Offered)
+        attempt->state = AttemptState::Revoked;
+    return attempt->state;
 }
 
 AttemptState AttemptTable::state(const AttemptId& id) const
 {
     auto found = attempts_.find(id);
-    return found == attempts_.end() ? AttemptState::Unseen : found->second.state;
+    if (found != attempts_.end())
+        return found->second.state;
+    return isForgotten(id) ? AttemptState::Forgotten : AttemptState::Unseen;
 }
 
 std::shared_ptr<const RetainedAnswer> AttemptTable::answer(const AttemptId& id) const
@@ -79,17 +127,33 @@
     return found == attempts_.end() ? nullptr : found->second.answer;
 }
 
+void AttemptTable::forget(Instant now, const AttemptId& id)
+{
+    auto found = attempts_.find(id);
+    if (found->second.answer)
+        retainedBytes_ -= bytesOf(*found->second.answer);
+    attempts_.erase(found);
+    auto& floor = floors_[id.incarnation];
+    floor.counter = std::max(floor.counter, id.counter);
+    floor.end = now + options_.floorLife;
+}
+
+void AttemptTable::sweepFloors(Instant now)
+{
+    if (now < nextSweep_)
+        return;
+    nextSweep_ = now + sweepInterval;
+    std::erase_if(floors_, [&](const auto& entry) { return entry.second.end <= now; });
+}
+
 void AttemptTable::tick(Instant now)
 {
-    std::erase_if(attempts_, [&](const auto& entry) {
-        const auto& attempt = entry.second;
-        bool isOpen = attempt.state == AttemptState::Offered || attempt.state == AttemptState::Dispatched;
-        if (isOpen || now < attempt.deadline + options_.retention)
-            return false;
-        if (attempt.answer)
-            retainedBytes_ -= attempt.answer->body.size();
-        return true;
-    });
+    // Open attempts go too: past deadline and retention their handlers can do nothing that counts.
+    while (!expiries_.empty() && expiries_.begin()->first <= now) {
+        forget(now, expiries_.begin()->second);
+        expiries_.erase(expiries_.begin());
+    }
+    sweepFloors(now);
 }
 
 } // namespace balsamreel::Once
--- a/lib/Standins/FakeServer.cpp
+++ b/lib/Standins/FakeServer.cpp
@@ -114,7 +114,7 @@
 {
     Poco::JSON::Object root;
     root.set("service", options_.service);
-    root.set("address", options_.listen.text());
+    root.set("address", options_.announced.value_or(options_.listen).text());
     root.set("slots", options_.slots);
     root.set("connections", announcedConnections);
     root.set("state", state);
--- a/lib/Support/Http.cpp
+++ b/lib/Support/Http.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <istream>
+#include <netinet/tcp.h>
 #include <ostream>
 
 namespace balsamreel::Support {
@@ -55,6 +56,8 @@
 {
     Poco::Net::ServerSocket socket;
     socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true, false);
+    // Accepted connections inherit these options on Linux.
+    boundSilence(socket);
     socket.listen(listenBacklog);
     return socket;
 }
@@ -74,6 +77,22 @@
 
 } // namespace
 
+void boundSilence(Poco::Net::Socket& socket)
+{
+    constexpr int idleSeconds = 2;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probeCount = 3;
+    constexpr int unacknowledgedMillis = 5000;
+    // A peer that reads nothing acknowledges probes, so that sending needs its own bound.
+    const Poco::Timespan sendTimeout(10, 0);
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, idleSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis);
+    socket.setSendTimeout(sendTimeout);
+}
+
 HttpService::HttpService(const Endpoint& endpoint, HttpHandler handler, HttpServerOptions options)
     : threads_(2, options.maximumConnections + 1, threadIdleSeconds, handlerStackBytes)
     , server_(std::make_unique<Poco::Net::HTTPServer>(new FunctionHandlerFactory(std::move(handler)), threads_, bindSocket(endpoint), makeParams(options)))
--- a/tools/balsam-load/main.cpp
+++ b/tools/balsam-load/main.cpp
@@ -14,7 +14,7 @@
     std::vector<Support::SettingSpec> specs{
         {.flag = "entries", .environment = "BALSAM_LOAD_ENTRIES", .kind = SettingKind::EndpointList, .help = "addresses to call", .isRequired = true},
         {.flag = "servers", .environment = "BALSAM_LOAD_SERVERS", .kind = SettingKind::EndpointList, .help = "stand-ins whose execution logs are checked at the end"},
-        {.flag = "profile", .environment = "BALSAM_LOAD_PROFILE", .fallback = "steady", .help = "kinds of calls", .choices = {"idle", "steady", "tengri", "association"}},
+        {.flag = "profile", .environment = "BALSAM_LOAD_PROFILE", .fallback = "steady", .help = "kinds of calls", .choices = {"idle", "steady", "orders", "tengri", "association"}},
         {.flag = "phases", .environment = "BALSAM_LOAD_PHASES", .fallback = "200:5", .help = "arrival rates: CALLS_PER_S:SECONDS,..."},
         {.flag = "workers", .environment = "BALSAM_LOAD_WORKERS", .kind = SettingKind::Integer, .fallback = "256", .minimum = 1, .maximum = 2000, .help = "most calls in flight at once"},
         {.flag = "deadline-ms", .environment = "BALSAM_LOAD_DEADLINE_MS", .kind = SettingKind::Integer, .fallback = "5000", .minimum = 1, .maximum = 600'000, .unit = "milliseconds", .help = "deadline sent with each call"},
--- a/tools/balsamd/main.cpp
+++ b/tools/balsamd/main.cpp
@@ -17,6 +17,7 @@
         {.flag = "node", .environment = "BALSAMD_NODE", .help = "name of this node, unique in the deployment", .isRequired = true},
         {.flag = "listen", .environment = "BALSAMD_LISTEN", .kind = SettingKind::Endpoint, .help = "address for callers", .isRequired = true},
         {.flag = "peer", .environment = "BALSAMD_PEER", .kind = SettingKind::Endpoint, .help = "address for other nodes, TCP and UDP", .isRequired = true},
+        {.flag = "peer-bind", .environment = "BALSAMD_PEER_BIND", .kind = SettingKind::Endpoint, .help = "where TCP of --peer is bound if a relay stands in front of it"},
         {.flag = "admin", .environment = "BALSAMD_ADMIN", .kind = SettingKind::Endpoint, .help = "address for servers' announcements and operators", .isRequired = true},
         {.flag = "domain", .environment = "BALSAMD_DOMAIN", .fallback = "domain-1", .help = "failure domain of this VM"},
         {.flag = "region", .environment = "BALSAMD_REGION", .fallback = "region-1", .help = "region of this VM"},
@@ -48,6 +49,7 @@
     node.deployment = settings.text("deployment");
     node.listen = settings.endpoint("listen");
     node.peer = settings.endpoint("peer");
+    node.peerBind = settings.optionalEndpoint("peer-bind");
     node.admin = settings.endpoint("admin");
     node.store = settings.optionalEndpoint("store");
     node.seeds = settings.endpoints("seeds");
--- a/tools/fake-server/main.cpp
+++ b/tools/fake-server/main.cpp
@@ -14,6 +14,7 @@
     Support::blockEndSignals();
     std::vector<Support::SettingSpec> specs{
         {.flag = "listen", .environment = "FAKE_SERVER_LISTEN", .kind = SettingKind::Endpoint, .help = "address to listen on", .isRequired = true},
+        {.flag = "announce", .environment = "FAKE_SERVER_ANNOUNCE", .kind = SettingKind::Endpoint, .help = "address to announce, if a relay stands in front of it"},
         {.flag = "node", .environment = "FAKE_SERVER_NODE", .kind = SettingKind::Endpoint, .help = "admin address of the node to announce to", .isRequired = true},
         {.flag = "service", .environment = "FAKE_SERVER_SERVICE", .help = "service it belongs to", .isRequired = true},
         {.flag = "slots", .environment = "FAKE_SERVER_SLOTS", .kind = SettingKind::Integer, .fallback = "9", .minimum = 1, .maximum = 1000, .help = "calls it works on at once"},
@@ -27,6 +28,7 @@
     Support::setLogSource("fake-server/" + settings.endpoint("listen").text());
     Standins::FakeServerOptions options;
     options.listen = settings.endpoint("listen");
+    options.announced = settings.optionalEndpoint("announce");
     options.nodeAdmin = settings.endpoint("node");
     options.service = settings.text("service");
     options.slots = static_cast<unsigned>(settings.integer("slots"));
--- a/unittests/Once/AttemptTableTest.cpp
+++ b/unittests/Once/AttemptTableTest.cpp
@@ -64,5 +64,41 @@
     EXPECT_EQ(table.size(), 0U);
 }
 
+TEST(AttemptTable, OpenAttemptsDoNotLeak)
+{
+    AttemptTable table({.retention = 1s});
+    table.offer(start, {1, 1}, start + 1s);
+    table.offer(start, {1, 2}, start + 1s);
+    table.dispatch(start, {1, 2});
+    table.tick(start + 2s);
+    EXPECT_EQ(table.size(), 0U);
+    table.finish({1, 2}, {200, {}, "late"});
+    EXPECT_EQ(table.retainedBytes(), 0U);
+}
+
+TEST(AttemptTable, ACopyLaterThanTheTombstoneIsRefusedAndNotCalledUnseen)
+{
+    AttemptTable table({.retention = 1s});
+    table.revoke(start, id, start + 1s);
+    table.tick(start + 2s);
+    EXPECT_EQ(table.size(), 0U);
+    EXPECT_FALSE(table.offer(start + 2s, id, start + 9s));
+    EXPECT_EQ(table.state(id), AttemptState::Forgotten);
+    EXPECT_EQ(table.revoke(start + 2s, id, start + 9s), AttemptState::Forgotten);
+    EXPECT_TRUE(table.offer(start + 2s, {1, 2}, start + 9s));
+}
+
+TEST(AttemptTable, ADispatchedAttemptWhoseHandlerEndsIsLost)
+{
+    AttemptTable table;
+    table.offer(start, {1, 1}, start + 1s);
+    table.offer(start, {1, 2}, start + 1s);
+    table.dispatch(start, {1, 2});
+    table.settle({1, 1});
+    table.settle({1, 2});
+    EXPECT_EQ(table.state({1, 1}), AttemptState::Refused);
+    EXPECT_EQ(table.state({1, 2}), AttemptState::Lost);
+}
+
 } // namespace
 } // namespace balsamreel::Once
--- a/utils/common.sh
+++ b/utils/common.sh
@@ -73,12 +73,10 @@
 # start_deployment BASE DEPLOYMENT SLOTS DOMAINS "SERVICE:COUNT ..." [options of balsamd]
 # Starts a store, puts the example files into it, and starts a server and a node per index. Sets COUNT.
 start_deployment() {
-    local base=$1 deployment=$2 slots=$3 domains=$4 services=$5 index=0 pair file
+    local base=$1 deployment=$2 slots=$3 domains=$4 services=$5 index=0 pair
     shift 5
     start_store "$base" || return 1
-    for file in "$ROOT/examples/$deployment"/*.toml; do
-        "$BIN/balsamctl" --store "127.0.0.1:$base" --deployment "$deployment" put "$file" >/dev/null 2>>"$RUN_DIR/put.log"
-    done
+    put_examples "$base" "$deployment"
     for pair in $services; do
         local service=${pair%%:*} count=${pair##*:} i
         for ((i = 0; i < count; i++)); do
@@ -113,3 +111,49 @@
         [ "${generation#*:}" -ge "$3" ] || return 1
     done
 }
+
+# put_examples BASE DEPLOYMENT: puts the example files into the store.
+put_examples() {
+    local file
+    for file in "$ROOT/examples/$2"/*.toml; do
+        "$BIN/balsamctl" --store "127.0.0.1:$1" --deployment "$2" put "$file" >/dev/null 2>>"$RUN_DIR/put.log"
+    done
+}
+
+# Nodes and servers behind one fake-link on each leg. The link's addresses are those that are announced:
+# entries B+500+i, peers B+200+i (bound at B+600+i), servers B+700+i.
+linked_entry_of() { echo "127.0.0.1:$(($1 + 500 + $2))"; }
+bound_peer_of() { echo "127.0.0.1:$(($1 + 600 + $2))"; }
+linked_server_of() { echo "127.0.0.1:$(($1 + 700 + $2))"; }
+link_control_of() { echo "127.0.0.1:$(($1 + 1))"; }
+
+# link_route LEG INDEX COUNT: number of the link's route for one node; legs are entry, peer and server.
+link_route() {
+    case $1 in
+    entry) echo "$2" ;;
+    peer) echo $(($3 + $2)) ;;
+    server) echo $((2 * $3 + $2)) ;;
+    esac
+}
+
+start_linked_node() { # BASE INDEX DEPLOYMENT [options of balsamd]
+    start_node "$1" "$2" "$3" "$3-domain-$(($2 % 2))" --peer-bind "$(bound_peer_of "$1" "$2")" "${@:4}"
+}
+
+start_linked_server() { # BASE INDEX DEPLOYMENT SERVICE SLOTS
+    start_server "$1" "$2" "$3" "$4" "$5" --announce "$(linked_server_of "$1" "$2")"
+}
+
+# start_linked_nodes BASE DEPLOYMENT SERVICE COUNT SLOTS [options of balsamd]
+start_linked_nodes() {
+    local base=$1 deployment=$2 service=$3 count=$4 slots=$5 routes=() i
+    shift 5
+    for ((i = 0; i < count; i++)); do routes+=("$(linked_entry_of "$base" "$i")=$(entry_of "$base" "$i")"); done
+    for ((i = 0; i < count; i++)); do routes+=("$(peer_of "$base" "$i")=$(bound_peer_of "$base" "$i")"); done
+    for ((i = 0; i < count; i++)); do routes+=("$(linked_server_of "$base" "$i")=$(server_of "$base" "$i")"); done
+    start "link-$base" "$BIN/fake-link" --control "$(link_control_of "$base")" --seed "${SEED:-1}" "${routes[@]}"
+    for ((i = 0; i < count; i++)); do
+        start_linked_node "$base" "$i" "$deployment" "$@"
+        start_linked_server "$base" "$i" "$deployment" "$service" "$slots"
+    done
+}
