--- a/include/balsamreel/Once/AttemptTable.h
+++ b/include/balsamreel/Once/AttemptTable.h
@@ -102,6 +102,8 @@
     void forget(Support::Instant now, const Wire::AttemptId&);
     void sweepFloors(Support::Instant now);
 
+    static constexpr std::size_t maximumForgottenPerTick = 256;
+
     AttemptTableOptions options_;
     std::map<Wire::AttemptId, Attempt> attempts_;
     std::multimap<Support::Instant, Wire::AttemptId> expiries_;
--- a/include/balsamreel/Standins/FakeServer.h
+++ b/include/balsamreel/Standins/FakeServer.h
@@ -29,6 +29,7 @@
     double noiseFactor = 4;
     Support::Duration loadLag = std::chrono::seconds(1); ///< age of what its load endpoint says
     std::uint64_t seed = 1;
+    std::optional<Support::Endpoint> entry; ///< for the calls it makes itself
 };
 
 /// Faults, set by POST /control?...
--- a/lib/Node/Exchange.cpp
+++ b/lib/Node/Exchange.cpp
@@ -10,8 +10,10 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cerrno>
 #include <charconv>
 #include <poll.h>
+#include <sys/socket.h>
 
 namespace balsamreel::Node {
 
@@ -19,7 +21,6 @@
 using Poco::Net::HTTPResponse;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
-using Poco::Net::Socket;
 using Support::Duration;
 using Support::Instant;
 using Support::monotonicNow;
@@ -37,6 +38,12 @@
     return Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(std::max(Duration(1), duration).count()));
 }
 
+// The connection is open and nothing has arrived on it.
+bool isWaiting(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
 } // namespace
 
 Poco::Net::StreamSocket& socketOf(HTTPServerRequest& request)
@@ -44,14 +51,12 @@
     return static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
 }
 
+// POCO's poll() opens and closes an epoll set for each question; one call that does not wait tells as much.
 bool hasClosed(Poco::Net::StreamSocket& socket)
 {
-    try {
-        char byte = 0;
-        return socket.poll(Poco::Timespan(0), Socket::SELECT_READ) && socket.receiveBytes(&byte, 1, MSG_PEEK) <= 0;
-    } catch (const Poco::Exception&) {
-        return true;
-    }
+    char byte = 0;
+    auto count = ::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && !isWaiting(errno));
 }
 
 void Session::connect(const Poco::Net::SocketAddress& address)
@@ -62,7 +67,10 @@
 
 bool Session::isStale()
 {
-    return !connected() || buffered() > 0 || socket().poll(Poco::Timespan(0), Socket::SELECT_READ);
+    if (!connected() || buffered() > 0)
+        return true;
+    char byte = 0;
+    return ::recv(socket().impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || !isWaiting(errno);
 }
 
 std::error_code Session::readBody(const HTTPResponse& response, bool hasBody, const Sink& sink)
@@ -413,6 +421,9 @@
 std::error_code relayAnswer(Exchange& exchange, const HTTPResponse& answer, HTTPServerRequest& request, HTTPServerResponse& response, const Session::Sink& copy)
 {
     response.setStatusAndReason(answer.getStatus(), answer.getReason());
+    // The server's own date replaces the one that this process has set.
+    if (answer.has("Date"))
+        response.erase("Date");
     copyHeaders(answer, response);
     bool hasBody = answerHasBody(request.getMethod(), answer.getStatus());
     if (answer.hasContentLength())
--- a/lib/Once/AttemptTable.cpp
+++ b/lib/Once/AttemptTable.cpp
@@ -148,8 +148,9 @@
 
 void AttemptTable::tick(Instant now)
 {
-    // Open attempts go too: past deadline and retention their handlers can do nothing that counts.
-    while (!expiries_.empty() && expiries_.begin()->first <= now) {
+    // Open attempts go too: past deadline and retention their handlers can do nothing that counts. A tick takes a few
+    // only, since calls wait for the guard's lock meanwhile.
+    for (std::size_t count = 0; count < maximumForgottenPerTick && !expiries_.empty() && expiries_.begin()->first <= now; ++count) {
         forget(now, expiries_.begin()->second);
         expiries_.erase(expiries_.begin());
     }
