--- a/include/balsamreel/Standins/FakeServer.h
+++ b/include/balsamreel/Standins/FakeServer.h
@@ -19,6 +19,7 @@
 
 struct FakeServerOptions {
     Support::Endpoint listen;
+    std::optional<Support::Endpoint> announced; ///< if a relay stands in front of it
     Support::Endpoint nodeAdmin; ///< where it announces itself
     std::string service;
     unsigned slots = 8;
