--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "balsamreel/Support/Log.h"
 #include "balsamreel/Support/Random.h"
+#include "balsamreel/Wire/Headers.h"
 
 namespace balsamreel::Node {
 
@@ -17,6 +18,8 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
 // A caller may have sent a call just before it learns that its connection closes.
 constexpr Duration quietBeforeEnd = std::chrono::milliseconds(1000);
+// Callers that go on sending to a leaving node are served for so long, then refused.
+constexpr Duration serveWhileLeaving = std::chrono::seconds(5);
 constexpr int adminConnections = 16;
 
 Support::HttpServerOptions connectionLimit(int maximum)
@@ -38,7 +41,7 @@
     , callers_(
           context_.settings.listen, [this](auto& request, auto& response) { entry_.handle(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
     , peers_(
-          context_.settings.peer, [this](auto& request, auto& response) { handlePeer(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
+          context_.settings.peerBind.value_or(context_.settings.peer), [this](auto& request, auto& response) { handlePeer(request, response); }, connectionLimit(static_cast<int>(context_.settings.maximumCallers)))
     , operators_(
           context_.settings.admin, [this](auto& request, auto& response) { admin_.handle(request, response); }, connectionLimit(adminConnections))
 {
@@ -69,6 +72,9 @@
 
 void Daemon::handlePeer(HTTPServerRequest& request, HTTPServerResponse& response)
 {
+    // Callers can't set this header: entries strip the system's own ones.
+    if (request.has(Wire::queryHeader))
+        return guard_.handleQuery(request, response);
     if (request.getURI() != "/balsam/head" || request.has("X-Balsam-Attempt"))
         return guard_.handle(request, response);
     auto active = context_.config.get();
@@ -94,14 +100,18 @@
     context_.isLeaving = true;
     gossip_.leave();
     guard_.drainAll();
-    callers_.stopAccepting();
-    auto end = monotonicNow() + context_.settings.grace;
-    auto quietSince = monotonicNow();
+    // Connections are still accepted and each answer closes its own: one left in the listen
+    // queue would get no answer at all.
+    auto start = monotonicNow();
+    auto end = start + context_.settings.grace;
+    auto quietSince = start;
     while (monotonicNow() < end && monotonicNow() - quietSince < quietBeforeEnd) {
         if (context_.inFlight.count() > 0)
             quietSince = monotonicNow();
+        context_.refusesCalls = monotonicNow() - start >= serveWhileLeaving;
         std::this_thread::sleep_for(tickInterval);
     }
+    callers_.stopAccepting();
     Support::log(Support::LogLevel::Info, "ended", "in_flight={}", context_.inFlight.count());
 }
 
