Turn calls away from slow servers at their guard, and probe what traffic does not tell

The guard sees the calls of all entries.

Change: the guard follows its server's pace (latency against its own median per route, calls open too long, failures). A first attempt that says that another server is fit is turned away as not run while the server is suspected; one trial at a time goes through, then twice as many with each good answer. A call is turned away once at most, and only without a body, so that with all servers slow it runs after one more trip. Load probes (LoadProbe, LoadReport at the end of Wire::Payload) go over the gossip socket, to servers of services in use that no answer told of for 0.2 s.

--- a/include/balsamreel/Balance/Balancer.h
+++ b/include/balsamreel/Balance/Balancer.h
@@ -104,6 +104,7 @@
     Support::Endpoint guard;
     std::uint64_t guardIncarnation = 0;
     Support::Instant chosenAt;
+    bool hasAlternative = false; ///< another server of the service is fit and not suspected
 };
 
 /// The table of servers and the systems that run over it. Not thread-safe.
@@ -123,8 +124,8 @@
     void started(Support::Instant now, const ServerId&, const std::string& route = {});
     void finished(Support::Instant now, const ServerId&, const Feedback&);
 
-    /// A guard answered a probe; ratio is how slow its server is compared with its own past.
-    void probed(Support::Instant now, const ServerId&, const Wire::LoadStamp&, double ratio);
+    /// A guard answered a probe; slowness is its server's latency relative to the usual one, if it knows.
+    void probed(Support::Instant now, const ServerId&, const Wire::LoadStamp&, std::optional<double> slowness);
 
     const std::map<ServerId, ServerEntity>& servers() const { return servers_; }
     const std::map<std::string, ServiceEntity>& services() const { return services_; }
@@ -141,6 +142,7 @@
     ServerEntity* pick(const Query&, const std::vector<ServerEntity*>&);
     ServerEntity* pickNearFirst(const Query&);
     ServerEntity* chooseBalanced(Query&);
+    bool hasAlternative(const Query&, const ServerEntity& chosen) const;
     void addToService(Support::Instant now, ServerEntity&, bool isNew);
     double tripMicros(const ServerFacts&) const;
     double slowness(Support::Instant now, const ServiceEntity&, const ServerEntity&) const;
--- a/include/balsamreel/Node/Gossip.h
+++ b/include/balsamreel/Node/Gossip.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Membership/Swim.h"
 #include "balsamreel/Node/Context.h"
 #include "balsamreel/Node/Guard.h"
+#include "balsamreel/Node/Prober.h"
 
 #include <Poco/Net/DatagramSocket.h>
 
@@ -45,6 +46,7 @@
     Guard& guard_;
     mutable std::mutex mutex_;
     Membership::Swim swim_;
+    Prober prober_; ///< used by the gossip thread only
     std::uint64_t publishedRevision_ = 0;
     Poco::Net::DatagramSocket socket_;
     std::atomic<bool> isEnding_{false};
--- a/include/balsamreel/Node/Guard.h
+++ b/include/balsamreel/Node/Guard.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Admission/Gate.h"
 #include "balsamreel/Node/Announcement.h"
 #include "balsamreel/Node/Context.h"
+#include "balsamreel/Node/Paces.h"
 #include "balsamreel/Once/AttemptTable.h"
 #include "balsamreel/Wire/Messages.h"
 
@@ -35,6 +36,9 @@
     /// Answers a query for the state of an attempt.
     void handleQuery(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
 
+    /// The load of one of its servers; nothing if it guards no such server.
+    std::optional<Wire::LoadReport> report(const Wire::LoadProbe&) const;
+
     /// Refuses all new work from now on.
     void drainAll();
 
@@ -63,7 +67,9 @@
     void onServerError(const Call&, std::error_code, Poco::Net::HTTPServerResponse&);
     void relayRetained(const Call&, Exchange&, const Poco::Net::HTTPResponse&, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
     void refuse(const Call&, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&, const Admission::Refused&);
-    void setStamp(const Call&, Poco::Net::HTTPServerResponse&);
+    std::optional<Wire::LoadStamp> stampOf(const Support::Endpoint&) const;
+    void setStamp(const Call&, Poco::Net::HTTPServerResponse&, Support::Duration minimumWait = {});
+    bool divert(const Call&, const Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
     static void wake(LocalServer&, const std::vector<Admission::Resolution>&);
     Admission::GateOptions gateOptions(const Wire::ServerRecord&) const;
 
@@ -71,6 +77,7 @@
     mutable std::mutex mutex_;
     std::map<Support::Endpoint, LocalServer> servers_;
     Once::AttemptTable attempts_;
+    Paces paces_;
     std::uint64_t nextTicket_ = 1;
     bool isDraining_ = false;
 };
--- /dev/null
+++ b/include/balsamreel/Node/Paces.h
@@ -0,0 +1,44 @@
+// The pace of each local server, for its guard.
+#pragma once
+
+#include "balsamreel/Balance/ServerPace.h"
+#include "balsamreel/Support/Endpoint.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace balsamreel::Node {
+
+/// Thread-safe.
+class Paces {
+public:
+    /// One call at a server; counts as broken unless it is finished.
+    class Run {
+    public:
+        Run(Paces&, const Support::Endpoint&, const std::string& route);
+        ~Run();
+        Run(const Run&) = delete;
+        Run& operator=(const Run&) = delete;
+
+        /// The call has ended now; only the first end counts.
+        void finish(Balance::AttemptResult);
+
+    private:
+        Paces& paces_;
+        Support::Endpoint server_;
+        std::string route_;
+        Support::Instant startedAt_;
+        bool isOpen_ = true;
+    };
+
+    bool isDiverting(Support::Instant now, const Support::Endpoint&) const;
+    std::optional<double> slowness(Support::Instant now, const Support::Endpoint&) const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<Support::Endpoint, Balance::ServerPace> paces_;
+};
+
+} // namespace balsamreel::Node
--- /dev/null
+++ b/include/balsamreel/Node/Prober.h
@@ -0,0 +1,51 @@
+// Sends load probes within their budget, answers those of other nodes, and tells the balancer what comes back.
+#pragma once
+
+#include "balsamreel/Balance/ProbePlanner.h"
+#include "balsamreel/Membership/Swim.h"
+#include "balsamreel/Node/Context.h"
+#include "balsamreel/Node/Guard.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Node {
+
+/// Not thread-safe; locks the balancer itself.
+class Prober {
+public:
+    Prober(Context&, Guard&);
+
+    /// The probes that are due.
+    std::vector<Membership::Outgoing> tick(Support::Instant now);
+
+    /// The probes of the last tick have left by now.
+    void sent(Support::Instant now);
+
+    /// Takes a probe or a report; gives the answer to a probe.
+    std::vector<Membership::Outgoing> receive(Support::Instant now, const Support::Endpoint& from, const Wire::Message&);
+
+    /// The message is one for receive().
+    static bool isForProber(const Wire::Message&);
+
+private:
+    struct Pending {
+        Balance::ServerId server;
+        Support::Instant sentAt;
+    };
+
+    std::map<std::string, double> budgets() const;
+    Wire::Message makeMessage(Wire::Payload) const;
+    void onReport(Support::Instant now, const Wire::LoadReport&);
+
+    Context& context_;
+    Guard& guard_;
+    Balance::ProbePlanner planner_;
+    std::vector<Balance::ProbeTarget> leaving_; ///< planned by the last tick
+    std::map<std::uint64_t, Pending> pending_; ///< by sequence
+    std::uint64_t nextSequence_ = 1;
+};
+
+} // namespace balsamreel::Node
--- a/include/balsamreel/Wire/Headers.h
+++ b/include/balsamreel/Wire/Headers.h
@@ -31,6 +31,7 @@
 constexpr const char* attemptStateHeader = "X-Balsam-Attempt-State"; ///< the answer to a query
 constexpr const char* retainedHeader = "X-Balsam-Retained"; ///< status of the retained answer that the body holds
 constexpr const char* workClassHeader = "X-Balsam-Class";
+constexpr const char* mayDivertHeader = "X-Balsam-May-Divert"; ///< another server can take the call if this one is slow
 constexpr const char* idempotencyKeyHeader = "Idempotency-Key";
 
 /// What an answer says about the work itself.
--- a/include/balsamreel/Wire/Messages.h
+++ b/include/balsamreel/Wire/Messages.h
@@ -5,6 +5,7 @@
 #include "balsamreel/Support/NameTable.h"
 #include "balsamreel/Support/Timeline.h"
 #include "balsamreel/Wire/Bounded.h"
+#include "balsamreel/Wire/Headers.h"
 
 #include <array>
 #include <cstdint>
@@ -97,8 +98,21 @@
 /// Records of the buckets that differ; also the answer to a Digest.
 struct Records { };
 
+/// Asks a guard for the load of one of its servers.
+struct LoadProbe {
+    std::uint64_t sequence = 0;
+    Support::Endpoint server;
+};
+
+/// A guard's answer to a LoadProbe.
+struct LoadReport {
+    std::uint64_t sequence = 0;
+    LoadStamp stamp;
+    std::uint32_t slownessPermille = 0; ///< recent latency relative to the usual one; 0: no answer came lately
+};
+
 /// Payload kinds. Each datagram also carries member records.
-using Payload = std::variant<Ping, Ack, PingRequest, Digest, Records>;
+using Payload = std::variant<Ping, Ack, PingRequest, Digest, Records, LoadProbe, LoadReport>;
 
 struct Message {
     Envelope envelope;
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -250,6 +250,11 @@
     return warm ? warm : chosen;
 }
 
+bool Balancer::hasAlternative(const Query& query, const ServerEntity& chosen) const
+{
+    return std::ranges::any_of(query.service.all, [&](const ServerEntity* server) { return server != &chosen && !server->health.isSuspected() && isFit(query, *server); });
+}
+
 /// Visits the policy.
 struct Balancer::Chooser {
     Balancer& balancer;
@@ -283,7 +288,7 @@
         return std::nullopt;
     if (chosen->facts.domain != domain_)
         found->second.lastFar = chosen;
-    return Choice{chosen->facts.id, chosen->facts.guard, chosen->facts.incarnation, now};
+    return Choice{chosen->facts.id, chosen->facts.guard, chosen->facts.incarnation, now, !isNaive && hasAlternative(query, *chosen)};
 }
 
 void Balancer::started(Instant now, const ServerId& id, const std::string& route)
@@ -335,14 +340,15 @@
     learn(now, services_[server.facts.service], server, feedback);
 }
 
-void Balancer::probed(Instant now, const ServerId& id, const Wire::LoadStamp& stamp, double ratio)
+void Balancer::probed(Instant now, const ServerId& id, const Wire::LoadStamp& stamp, std::optional<double> slowness)
 {
     auto found = servers_.find(id);
     if (found == servers_.end())
         return;
     takeStamp(now, stamp, found->second);
     found->second.heardAt = now;
-    found->second.health.onReport(now, ratio);
+    if (slowness)
+        found->second.health.onReport(now, *slowness);
 }
 
 } // namespace balsamreel::Balance
--- /dev/null
+++ b/lib/Balance/ProbePlanner.cpp
@@ -0,0 +1,71 @@
+#include "balsamreel/Balance/ProbePlanner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace balsamreel::Balance {
+
+using Support::Duration;
+using Support::Instant;
+
+namespace {
+
+// Answers from within this time tell more than a probe would.
+constexpr Duration freshAnswer = std::chrono::milliseconds(200);
+constexpr Duration probeInterval = std::chrono::milliseconds(200);
+// A service without calls for so long is not probed.
+constexpr Duration serviceIdle = std::chrono::seconds(2);
+
+} // namespace
+
+std::vector<const ServerEntity*> ProbePlanner::unheardServers(Instant now, const ServiceEntity& service) const
+{
+    std::vector<const ServerEntity*> servers;
+    for (const auto* server : service.all) {
+        if (server->heardAt && now - *server->heardAt < freshAnswer)
+            continue;
+        auto probed = probedAt_.find(server->facts.id);
+        if (probed != probedAt_.end() && now - probed->second < probeInterval)
+            continue;
+        servers.push_back(server);
+    }
+    // Suspected servers first, for they get few calls that could tell; then near ones; then the longest unheard.
+    auto order = [&](const ServerEntity* server) {
+        return std::tuple(!server->health.isSuspected(), server->facts.domain != domain_, server->heardAt.value_or(Instant::min()));
+    };
+    std::ranges::sort(servers, {}, order);
+    return servers;
+}
+
+std::vector<ProbeTarget> ProbePlanner::plan(Instant now, const Balancer& balancer, const std::map<std::string, double>& rates)
+{
+    std::erase_if(probedAt_, [&](const auto& entry) { return now - entry.second >= probeInterval; });
+    // A service that left the configuration has no budget, also while its last calls end.
+    for (auto& [name, budget] : budgets_) {
+        if (!rates.contains(name))
+            budget.setRate(now, 0);
+    }
+    std::vector<ProbeTarget> targets;
+    for (const auto& [name, rate] : rates) {
+        auto& budget = budgets_.try_emplace(name, now, rate).first->second;
+        budget.setRate(now, rate);
+        auto found = balancer.services().find(name);
+        if (found == balancer.services().end() || !found->second.usedAt || now - *found->second.usedAt > serviceIdle)
+            continue;
+        for (const auto* server : unheardServers(now, found->second)) {
+            if (!budget.tryTake(now))
+                break;
+            probedAt_[server->facts.id] = now;
+            targets.push_back({server->facts.id, server->facts.guard, name, rate});
+        }
+    }
+    return targets;
+}
+
+void ProbePlanner::sent(Instant now, const ProbeTarget& target)
+{
+    if (auto budget = budgets_.find(target.service); budget != budgets_.end())
+        budget->second.sent(now);
+}
+
+} // namespace balsamreel::Balance
--- /dev/null
+++ b/lib/Balance/ServerPace.cpp
@@ -0,0 +1,75 @@
+#include "balsamreel/Balance/ServerPace.h"
+
+#include <algorithm>
+
+namespace balsamreel::Balance {
+
+using Support::Duration;
+using Support::Instant;
+
+namespace {
+
+// A call of a server that is well is rarely open for this many times its usual latency.
+constexpr double lateRatio = 3.5;
+constexpr Duration freshness = std::chrono::milliseconds(200);
+constexpr std::size_t maximumRoutes = 256;
+
+} // namespace
+
+void ServerPace::started(Instant now, const std::string& route)
+{
+    open_.push_back({now, route});
+}
+
+void ServerPace::finished(Instant now, Instant startedAt, const std::string& route, AttemptResult result)
+{
+    auto isSame = [&](const OpenCall& call) { return call.startedAt == startedAt && call.route == route; };
+    if (auto found = std::ranges::find_if(open_, isSame); found != open_.end())
+        open_.erase(found);
+    auto known = routes_.find(route);
+    bool isLate = known != routes_.end() && known->second.ratioOf(now - startedAt) >= lateRatio;
+    // A caller that left early says nothing of the server.
+    if (result == AttemptResult::Abandoned && !isLate)
+        return;
+    answeredAt_ = now;
+    if (result != AttemptResult::Answered && result != AttemptResult::Abandoned) {
+        health_.onFailure(now, false);
+        return;
+    }
+    // Route names come from other nodes, so their number is bounded.
+    if (known == routes_.end() && routes_.size() >= maximumRoutes)
+        return;
+    auto& typical = routes_[route];
+    double ratio = typical.ratioOf(now - startedAt);
+    typical.observe(now - startedAt);
+    health_.onAnswer(now, ratio);
+}
+
+bool ServerPace::hasLateCall(Instant now) const
+{
+    return std::ranges::any_of(open_, [&](const OpenCall& call) {
+        auto typical = routes_.find(call.route);
+        return typical != routes_.end() && typical->second.ratioOf(now - call.startedAt) >= lateRatio;
+    });
+}
+
+// Each entry would have to find out for itself that the server is slow, at the cost of a call or two; the guard sees
+// the calls of all. While the server is suspected, one trial at a time goes through, then twice as many with each
+// good answer.
+bool ServerPace::isDiverting(Instant now) const
+{
+    if (!health_.isSuspected())
+        return hasLateCall(now);
+    if (health_.isDueForTrial(now))
+        return !open_.empty();
+    return health_.allowance() == 1 || open_.size() >= health_.allowance();
+}
+
+std::optional<double> ServerPace::slowness(Instant now) const
+{
+    if (!answeredAt_ || now - *answeredAt_ > freshness)
+        return std::nullopt;
+    return health_.slowness(now);
+}
+
+} // namespace balsamreel::Balance
--- a/lib/Membership/Swim.cpp
+++ b/lib/Membership/Swim.cpp
@@ -393,6 +393,9 @@
         void operator()(const Wire::PingRequest& request) const { swim.onPingRequest(now, from, request, time, outgoing); }
         void operator()(const Wire::Digest& digest) const { swim.onDigest(from, digest, time, outgoing); }
         void operator()(const Wire::Records&) const { }
+        // The load of servers is no matter of membership.
+        void operator()(const Wire::LoadProbe&) const { }
+        void operator()(const Wire::LoadReport&) const { }
     };
     std::visit(Visitor{*this, now, from, time, outgoing}, message.payload);
     return outgoing;
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -113,6 +113,9 @@
     request.set(Wire::workClassHeader, std::string(Support::nameOf(Config::workClassNames, call.route->workClass)));
     call.trace.passOn(request);
     call.trace.step("attempt", "attempt={} server={}", attempt.text(), choice.server.text());
+    // A call is turned away once at most, so that with all servers slow it still runs.
+    if (call.attempts == 1 && choice.hasAlternative)
+        request.set(Wire::mayDivertHeader, "1");
     if (call.isAtMostOnce)
         request.set(Wire::atMostOnceHeader, "1");
     if (!call.body.isWhole())
--- a/lib/Node/Gossip.cpp
+++ b/lib/Node/Gossip.cpp
@@ -45,6 +45,7 @@
     : context_(context)
     , guard_(guard)
     , swim_({}, selfRecord(context), seed)
+    , prober_(context, guard)
     , socket_(Poco::Net::SocketAddress(context.settings.peer.host, context.settings.peer.port), true)
 {
     swim_.setSeeds(context.settings.seeds);
@@ -110,6 +111,7 @@
         try {
             if (!socket_.poll(timeout, Poco::Net::Socket::SELECT_READ))
                 return;
+            timeout = 0;
             Poco::Net::SocketAddress from;
             int size = socket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
             Wire::Message message;
@@ -120,10 +122,15 @@
             context_.metrics.add("balsam_gossip_received_bytes_total", size);
             auto& clock = context_.timeline.clock();
             clock.observe(message.envelope.time, wallMicros());
+            Support::Endpoint sender{from.host().toString(), from.port()};
+            if (Prober::isForProber(message)) {
+                send(prober_.receive(monotonicNow(), sender, message));
+                continue;
+            }
             std::vector<Membership::Outgoing> outgoing;
             {
                 std::lock_guard lock(mutex_);
-                outgoing = swim_.receive(monotonicNow(), {from.host().toString(), from.port()}, message, clock.tick(wallMicros()));
+                outgoing = swim_.receive(monotonicNow(), sender, message, clock.tick(wallMicros()));
             }
             send(outgoing);
         } catch (const Poco::Exception&) {
@@ -146,6 +153,8 @@
         recordChanges();
     }
     send(outgoing);
+    send(prober_.tick(now));
+    prober_.sent(monotonicNow());
     publish(now);
 }
 
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -32,6 +32,8 @@
 constexpr Duration reuseSilence = std::chrono::milliseconds(1000);
 constexpr std::uint64_t maximumDepth = 64;
 constexpr int firstServerError = 500;
+// An entry whose call was turned away sends no other for so long.
+constexpr Duration divertedWait = std::chrono::milliseconds(50);
 
 std::uint64_t numberHeader(const HTTPServerRequest& request, const char* name, std::uint64_t fallback, std::uint64_t maximum)
 {
@@ -54,6 +56,15 @@
     return std::string(Support::nameOf(Wire::outcomeNames, outcome));
 }
 
+Balance::AttemptResult resultOf(std::error_code error, const HTTPResponse& answer)
+{
+    if (error == ExchangeError::CallerLeft)
+        return Balance::AttemptResult::Abandoned;
+    if (error)
+        return Balance::AttemptResult::Broken;
+    return answer.getStatus() >= firstServerError ? Balance::AttemptResult::ServerError : Balance::AttemptResult::Answered;
+}
+
 void sendUnknown(HTTPServerResponse& response, const std::string& reason)
 {
     response.set(Wire::outcomeHeader, outcomeName(Wire::Outcome::Unknown));
@@ -232,15 +243,33 @@
     return Admission::Refused{Admission::RefusalReason::WaitedTooLong, {}};
 }
 
-void Guard::setStamp(const Call& call, HTTPServerResponse& response)
+std::optional<Wire::LoadStamp> Guard::stampOf(const Support::Endpoint& server) const
 {
     std::lock_guard lock(mutex_);
-    auto found = servers_.find(call.server);
+    auto found = servers_.find(server);
     if (found == servers_.end())
-        return;
+        return std::nullopt;
     auto load = found->second.gate.load(monotonicNow());
-    Wire::LoadStamp stamp{load.running, load.queued, load.limit, static_cast<std::uint32_t>(load.expectedWait.count())};
-    response.set(Wire::loadHeader, stamp.text());
+    return Wire::LoadStamp{load.running, load.queued, load.limit, static_cast<std::uint32_t>(load.expectedWait.count())};
+}
+
+void Guard::setStamp(const Call& call, HTTPServerResponse& response, Duration minimumWait)
+{
+    auto stamp = stampOf(call.server);
+    if (!stamp)
+        return;
+    stamp->waitMicros = std::max(stamp->waitMicros, static_cast<std::uint32_t>(minimumWait.count()));
+    response.set(Wire::loadHeader, stamp->text());
+}
+
+std::optional<Wire::LoadReport> Guard::report(const Wire::LoadProbe& probe) const
+{
+    auto stamp = stampOf(probe.server);
+    if (!stamp)
+        return std::nullopt;
+    constexpr double permille = 1000;
+    auto slowness = paces_.slowness(monotonicNow(), probe.server);
+    return Wire::LoadReport{probe.sequence, *stamp, slowness ? static_cast<std::uint32_t>(*slowness * permille) : 0};
 }
 
 void Guard::refuse(const Call& call, HTTPServerRequest& request, HTTPServerResponse& response, const Admission::Refused& refusal)
@@ -312,6 +341,7 @@
     // Opening a connection costs little beside long work, which could not be told from a silent connection.
     bool isFresh = call.isAtMostOnce || call.ticket.hint == Admission::LaneHint::Long;
     ExchangeOptions options{.target = call.server, .deadline = call.ticket.deadline, .isFreshConnection = isFresh, .caller = watched, .reuseSilence = reuseSilence};
+    Paces::Run paceRun(paces_, call.server, call.ticket.route);
     std::optional<Exchange> exchange(std::in_place, context_.pool, options);
     HTTPResponse answer;
     auto error = exchange->start(outgoing, *call.body, answer);
@@ -324,6 +354,7 @@
     }
     call.trace.step("worked", "server={} status={} error=\"{}\"", call.server.text(), static_cast<int>(answer.getStatus()), error ? error.message() : "");
     finish(call, !error && answer.getStatus() < firstServerError);
+    paceRun.finish(resultOf(error, answer));
     if (error)
         return onServerError(call, error, response);
     response.set(Wire::outcomeHeader, outcomeName(Wire::Outcome::Ran));
@@ -372,11 +403,23 @@
     capture.send(error);
 }
 
+// A call that another server can take is turned away while this one is slow or failing. Nothing of it is kept.
+bool Guard::divert(const Call& call, const HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    bool hasBody = request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0);
+    if (hasBody || !request.has(Wire::mayDivertHeader) || !paces_.isDiverting(monotonicNow(), call.server))
+        return false;
+    context_.metrics.add("balsam_guard_diverted_total");
+    setStamp(call, response, divertedWait);
+    sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "diverted", divertedWait, false);
+    return true;
+}
+
 void Guard::handle(HTTPServerRequest& request, HTTPServerResponse& response)
 {
     InFlight::Scope scope(context_.inFlight);
     auto call = readCall(request, response);
-    if (!call)
+    if (!call || divert(*call, request, response))
         return;
     {
         std::unique_lock lock(mutex_);
--- a/lib/Wire/Messages.cpp
+++ b/lib/Wire/Messages.cpp
@@ -134,6 +134,19 @@
 {
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LoadProbe& probe)
+{
+    archive(probe.sequence, probe.server);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, LoadReport& report)
+{
+    auto& stamp = report.stamp;
+    archive(report.sequence, stamp.running, stamp.queued, stamp.limit, stamp.waitMicros, report.slownessPermille);
+}
+
 namespace {
 
 template <typename Archive, std::size_t... Indices>
--- a/unittests/Wire/MessagesTest.cpp
+++ b/unittests/Wire/MessagesTest.cpp
@@ -29,12 +29,29 @@
     EXPECT_EQ(decoded.envelope.generation, 3U);
 }
 
+TEST(Messages, LoadProbesSurviveTheRoundTrip)
+{
+    auto message = sampleMessage();
+    Message decoded;
+    message.payload = LoadProbe{9, {"127.0.0.1", 10}};
+    ASSERT_FALSE(decode(encode(message), decoded));
+    EXPECT_EQ(std::get<LoadProbe>(decoded.payload).server.port, 10);
+    message.payload = LoadReport{9, {1, 2, 3, 4}, 1500};
+    ASSERT_FALSE(decode(encode(message), decoded));
+    EXPECT_EQ(std::get<LoadReport>(decoded.payload).stamp, (LoadStamp{1, 2, 3, 4}));
+    EXPECT_EQ(std::get<LoadReport>(decoded.payload).slownessPermille, 1500U);
+}
+
 TEST(Messages, EveryTruncationIsAnError)
 {
-    auto bytes = encode(sampleMessage());
-    for (std::size_t size = 0; size < bytes.size(); ++size) {
-        Message decoded;
-        EXPECT_TRUE(decode({bytes.data(), size}, decoded)) << size;
+    for (const Payload& payload : {Payload(Ping{4, "a-1"}), Payload(LoadProbe{9, {"127.0.0.1", 10}}), Payload(LoadReport{9, {1, 2, 3, 4}, 1500})}) {
+        auto message = sampleMessage();
+        message.payload = payload;
+        auto bytes = encode(message);
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            Message decoded;
+            EXPECT_TRUE(decode({bytes.data(), size}, decoded)) << size;
+        }
     }
 }
 
