Admission: learned limit, lanes, fair queue that shrinks under a standing load

Cause: the gate took the announced slots for the truth, queued first in first out with a length in calls, scanned all waiting calls per decision, and called every route long that ran 8 times longer than the quickest one.

Change: Limiter (tries other limits in alternating windows while saturated and keeps one if throughput, limit over service time, says so), WorkClasses (long is 8 times the geometric mean of all calls), Queue (depth, priority, start-time fair queueing between callers, log n), Gate (a queue that has stood for 100 ms shrinks to one service time, the last ones make room; what would end after its deadline is refused before it runs; overstaying work counts as long). New key limit_factor.

Ruled out: a gradient on latency alone, since a noisy neighbour raises latency at any concurrency; the longest-to-shortest factor, since one trivial route made all others long.

--- a/include/balsamreel/Admission/Gate.h
+++ b/include/balsamreel/Admission/Gate.h
@@ -1,65 +1,25 @@
 // When a call runs on its server: limits, lanes, a short queue, refusal. Pure decisions.
 #pragma once
 
+#include "balsamreel/Admission/Limiter.h"
+#include "balsamreel/Admission/Queue.h"
+#include "balsamreel/Admission/Ticket.h"
+#include "balsamreel/Admission/WorkClasses.h"
 #include "balsamreel/Support/Clock.h"
-#include "balsamreel/Support/NameTable.h"
-#include "balsamreel/Support/Random.h"
 
+#include <array>
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <string>
-#include <variant>
+#include <unordered_map>
 #include <vector>
 
 namespace balsamreel::Admission {
 
-enum class Lane : std::uint8_t { Short,
-    Long };
-
-constexpr Support::NameTable<Lane, 2> laneNames{{{Lane::Short, "short"}, {Lane::Long, "long"}}};
-
-/// What the configuration says of a route's work.
-enum class LaneHint : std::uint8_t { Learn,
-    Short,
-    Long };
-
-enum class RefusalReason : std::uint8_t { Overloaded,
-    DeadlineTooNear,
-    Draining,
-    WaitedTooLong };
-
-constexpr Support::NameTable<RefusalReason, 4> refusalReasonNames{{{RefusalReason::Overloaded, "overloaded"}, {RefusalReason::DeadlineTooNear, "deadline-too-near"}, {RefusalReason::Draining, "draining"}, {RefusalReason::WaitedTooLong, "waited-too-long"}}};
-
-/// A call that asks to run.
-struct Ticket {
-    std::uint64_t id = 0;
-    std::string route;
-    std::string caller;
-    LaneHint hint = LaneHint::Learn;
-    unsigned depth = 0; ///< calls above this one
-    unsigned priority = 0; ///< 0 is the most urgent
-    Support::Instant deadline;
-};
-
-struct Admitted { };
-struct Queued { };
-struct Refused {
-    RefusalReason reason = RefusalReason::Overloaded;
-    Support::Duration expectedWait{};
-};
-using Decision = std::variant<Admitted, Queued, Refused>;
-
-/// The end of a ticket's wait.
-struct Resolution {
-    std::uint64_t ticket = 0;
-    Decision decision;
-};
-
 struct GateOptions {
     std::uint32_t slots = 8; ///< announced by the server
-    double longShare = 0.5; ///< largest share of the slots for long work
+    double longShare = 0.5; ///< largest share of the limit for long work; at least one call
     Support::Duration maximumQueueWait = std::chrono::milliseconds(500);
+    double maximumLimitFactor = 1.5; ///< largest limit as a multiple of the announced slots
     bool isUnlimited = false; ///< the naive baseline: everything runs at once
 };
 
@@ -68,7 +28,9 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t limit = 0;
-    Support::Duration expectedWait{};
+    std::uint32_t runningLong = 0;
+    std::uint32_t longLimit = 0;
+    Support::Duration expectedWait{}; ///< of a new short call of the lowest rank
 };
 
 /// The gate of one server. Not thread-safe.
@@ -76,13 +38,17 @@
 public:
     explicit Gate(GateOptions);
 
-    void setOptions(const GateOptions& options) { options_ = options; }
+    void setOptions(const GateOptions&);
 
     /// A drained gate refuses all that is offered from now on; what waits still runs.
     void setDraining(bool isDraining) { isDraining_ = isDraining; }
 
+    /// Waiting tickets may have to make room; takeEvicted() gives them.
     Decision offer(Support::Instant now, const Ticket&);
 
+    /// Refusals of waiting tickets that made room for one offered since the last call.
+    std::vector<Resolution> takeEvicted();
+
     /// The work of an admitted ticket has ended; gives the tickets that run next.
     std::vector<Resolution> finish(Support::Instant now, std::uint64_t ticket, bool hasSucceeded);
 
@@ -97,28 +63,36 @@
 private:
     struct Running {
         Lane lane = Lane::Short;
+        LaneHint hint = LaneHint::Learn;
+        bool isUnloaded = false;
         std::string route;
         Support::Instant since;
     };
-    struct Waiting {
-        Ticket ticket;
-        Lane lane = Lane::Short;
-        Support::Instant since;
-    };
 
-    Lane laneOf(const Ticket&) const;
     bool mayRun(Lane) const;
     void run(Support::Instant now, const Ticket&, Lane);
     std::uint32_t longLimit() const;
-    std::vector<Resolution> admitWaiting(Support::Instant now);
-    Support::Duration expectedWait() const;
+    double slotsOf(Lane) const;
+    double laneMicros(Lane, double cost) const;
+    Support::Duration waitAfter(double workAhead, Lane, double cost) const;
+    Support::Duration allowedWait(Support::Instant now, Lane, double cost) const;
+    bool isOverfull(Support::Instant now, Lane) const;
+    Decision enqueue(Support::Instant now, const Ticket&, Lane);
+    void trim(Support::Instant now, Lane, std::vector<Resolution>&);
+    void dropExpired(Support::Instant now, std::vector<Resolution>&);
+    void admitWaiting(Support::Instant now, std::vector<Resolution>&);
+    void noteEmptyLanes(Support::Instant now);
+    void recountLongRunning(Support::Instant now);
 
     GateOptions options_;
     bool isDraining_ = false;
-    std::map<std::uint64_t, Running> running_;
+    Limiter limiter_;
+    WorkClasses classes_;
+    Queue queue_;
+    std::unordered_map<std::uint64_t, Running> running_;
     std::uint32_t runningLong_ = 0;
-    std::deque<Waiting> waiting_;
-    std::map<std::string, double> serviceMicros_; ///< smoothed service time per route
+    std::array<Support::Instant, 2> lastEmpty_; ///< when the lane's queue was last seen empty
+    std::vector<Resolution> evicted_;
 };
 
 } // namespace balsamreel::Admission
--- a/include/balsamreel/Config/Model.h
+++ b/include/balsamreel/Config/Model.h
@@ -32,6 +32,7 @@
     double longShare = 0.5; ///< largest share of a server's slots for long work
     double probesPerSecond = 5; ///< most probes one node sends for this service
     Support::Duration maximumQueueWait = std::chrono::milliseconds(500);
+    double limitFactor = 1.5; ///< largest learned limit as a multiple of a server's announced slots
 };
 
 struct Route {
--- a/lib/Admission/Gate.cpp
+++ b/lib/Admission/Gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace balsamreel::Admission {
 
@@ -10,61 +11,127 @@
 
 namespace {
 
-constexpr double serviceTimeWeight = 0.1;
-// A route is long if its work runs this many times longer than the shortest route's.
-constexpr double longFactor = 8;
 constexpr std::size_t queuePerSlot = 8;
+constexpr std::array lanes{Lane::Short, Lane::Long};
+// A queue that has not been empty for this long no longer absorbs a burst, it only adds delay.
+constexpr Duration standingAfter = std::chrono::milliseconds(100);
+constexpr double shortestTargetMicros = 5000;
+// A short call that runs this many times longer than the typical one holds its slot like a long one.
+constexpr double overstayFactor = 8;
+
+Duration micros(double count)
+{
+    return Duration(static_cast<Duration::rep>(count));
+}
+
+std::size_t indexOf(Lane lane)
+{
+    return static_cast<std::size_t>(lane);
+}
 
 } // namespace
 
 Gate::Gate(GateOptions options)
     : options_(options)
+    , limiter_({options.slots, options.maximumLimitFactor})
 {
 }
 
-Lane Gate::laneOf(const Ticket& ticket) const
+void Gate::setOptions(const GateOptions& options)
 {
-    if (ticket.hint != LaneHint::Learn)
-        return ticket.hint == LaneHint::Long ? Lane::Long : Lane::Short;
-    auto own = serviceMicros_.find(ticket.route);
-    if (own == serviceMicros_.end())
-        return Lane::Short;
-    double shortest = own->second;
-    for (const auto& [route, micros] : serviceMicros_)
-        shortest = std::min(shortest, micros);
-    return own->second > longFactor * shortest ? Lane::Long : Lane::Short;
+    options_ = options;
+    limiter_.setOptions({options.slots, options.maximumLimitFactor});
 }
 
+// One call of long work may always run, or it never would; one slot is always kept for short work if there are two.
 std::uint32_t Gate::longLimit() const
 {
-    auto share = static_cast<std::uint32_t>(std::floor(options_.slots * options_.longShare));
-    return std::clamp<std::uint32_t>(share, 1, std::max<std::uint32_t>(1, options_.slots));
+    auto limit = limiter_.limit();
+    auto share = static_cast<std::uint32_t>(std::floor(limit * options_.longShare));
+    return std::clamp<std::uint32_t>(share, 1, std::max<std::uint32_t>(1, limit - 1));
 }
 
 bool Gate::mayRun(Lane lane) const
 {
     if (options_.isUnlimited)
         return true;
-    if (running_.size() >= options_.slots)
+    if (running_.size() >= limiter_.limit())
         return false;
     return lane == Lane::Short || runningLong_ < longLimit();
 }
 
 void Gate::run(Instant now, const Ticket& ticket, Lane lane)
 {
-    running_[ticket.id] = {lane, ticket.route, now};
+    bool isUnloaded = running_.size() < std::max<std::size_t>(1, limiter_.limit() / 2);
+    running_[ticket.id] = {lane, ticket.hint, isUnloaded, ticket.route, now};
+    runningLong_ += lane == Lane::Long ? 1 : 0;
+}
+
+double Gate::slotsOf(Lane lane) const
+{
     if (lane == Lane::Long)
-        ++runningLong_;
+        return longLimit();
+    auto limit = limiter_.limit();
+    return std::max<std::uint32_t>(1, limit - std::min(limit, runningLong_));
+}
+
+double Gate::laneMicros(Lane lane, double cost) const
+{
+    return lane == Lane::Long ? cost : classes_.typicalMicros();
 }
 
-Duration Gate::expectedWait() const
+// The work ahead drains through all slots of the lane; then one of them has to become free.
+Duration Gate::waitAfter(double workAhead, Lane lane, double cost) const
 {
-    double total = 0;
-    for (const auto& waiting : waiting_) {
-        auto found = serviceMicros_.find(waiting.ticket.route);
-        total += found == serviceMicros_.end() ? 0 : found->second;
+    return micros((workAhead + laneMicros(lane, cost)) / slotsOf(lane));
+}
+
+Duration Gate::allowedWait(Instant now, Lane lane, double cost) const
+{
+    double service = laneMicros(lane, cost);
+    bool isStanding = now - lastEmpty_[indexOf(lane)] > standingAfter + micros(service);
+    if (!isStanding)
+        return options_.maximumQueueWait;
+    // Work for one service time keeps all slots busy; more of it would only wait.
+    return std::min(options_.maximumQueueWait, micros(std::max(shortestTargetMicros, service)));
+}
+
+bool Gate::isOverfull(Instant now, Lane lane) const
+{
+    const auto* last = queue_.last(lane);
+    // One may always wait; its own expiry bounds that.
+    if (!last || queue_.size(lane) == 1)
+        return false;
+    bool isTooMany = queue_.size(lane) > queuePerSlot * options_.slots;
+    return isTooMany || micros(queue_.work(lane) / slotsOf(lane)) > allowedWait(now, lane, last->cost);
+}
+
+void Gate::noteEmptyLanes(Instant now)
+{
+    for (auto lane : lanes) {
+        if (queue_.size(lane) == 0)
+            lastEmpty_[indexOf(lane)] = now;
     }
-    return Duration(static_cast<Duration::rep>(total / std::max<std::uint32_t>(1, options_.slots)));
+}
+
+Decision Gate::enqueue(Instant now, const Ticket& ticket, Lane lane)
+{
+    noteEmptyLanes(now);
+    double cost = classes_.expectedMicros(ticket.route);
+    auto wait = waitAfter(queue_.workAhead(ticket, lane, cost), lane, cost);
+    if (options_.maximumQueueWait <= Duration::zero())
+        return Refused{RefusalReason::Overloaded, wait};
+    // Behind others, what would end after its deadline is refused before it takes a slot from them.
+    if (now + wait + micros(cost) > ticket.deadline)
+        return Refused{RefusalReason::DeadlineTooNear, wait};
+    auto expiry = std::min(ticket.deadline - micros(cost), now + options_.maximumQueueWait);
+    queue_.push({ticket, lane, now, expiry, cost});
+    trim(now, lane, evicted_);
+    auto own = std::ranges::find(evicted_, ticket.id, &Resolution::ticket);
+    if (own == evicted_.end())
+        return Queued();
+    evicted_.erase(own);
+    return Refused{RefusalReason::Overloaded, wait};
 }
 
 Decision Gate::offer(Instant now, const Ticket& ticket)
@@ -72,80 +139,118 @@
     if (isDraining_)
         return Refused{RefusalReason::Draining, {}};
     if (ticket.deadline <= now)
-        return Refused{RefusalReason::DeadlineTooNear, expectedWait()};
-    auto lane = laneOf(ticket);
-    if (mayRun(lane)) {
-        run(now, ticket, lane);
-        return Admitted();
+        return Refused{RefusalReason::DeadlineTooNear, {}};
+    auto lane = classes_.laneOf(ticket);
+    if (!mayRun(lane))
+        return enqueue(now, ticket, lane);
+    run(now, ticket, lane);
+    return Admitted();
+}
+
+std::vector<Resolution> Gate::takeEvicted()
+{
+    return std::exchange(evicted_, {});
+}
+
+void Gate::trim(Instant now, Lane lane, std::vector<Resolution>& resolutions)
+{
+    while (isOverfull(now, lane)) {
+        const auto* last = queue_.last(lane);
+        auto wait = waitAfter(queue_.work(lane) - last->cost, lane, last->cost);
+        auto id = last->ticket.id;
+        queue_.remove(id);
+        resolutions.push_back({id, Refused{RefusalReason::Overloaded, wait}});
     }
-    auto wait = expectedWait();
-    if (waiting_.size() >= queuePerSlot * options_.slots || wait > options_.maximumQueueWait)
-        return Refused{RefusalReason::Overloaded, wait};
-    if (now + wait > ticket.deadline)
-        return Refused{RefusalReason::DeadlineTooNear, wait};
-    waiting_.push_back({ticket, lane, now});
-    return Queued();
 }
 
-std::vector<Resolution> Gate::admitWaiting(Instant now)
+void Gate::dropExpired(Instant now, std::vector<Resolution>& resolutions)
 {
-    std::vector<Resolution> resolutions;
-    for (auto current = waiting_.begin(); current != waiting_.end();) {
-        if (!mayRun(current->lane)) {
-            ++current;
-            continue;
-        }
-        if (current->ticket.deadline <= now)
-            resolutions.push_back({current->ticket.id, Refused{RefusalReason::DeadlineTooNear, {}}});
-        else {
-            run(now, current->ticket, current->lane);
-            resolutions.push_back({current->ticket.id, Admitted()});
-        }
-        current = waiting_.erase(current);
+    for (const auto* entry = queue_.firstToExpire(); entry && entry->expiry <= now; entry = queue_.firstToExpire()) {
+        bool isStale = now - entry->since >= options_.maximumQueueWait;
+        auto reason = isStale ? RefusalReason::WaitedTooLong : RefusalReason::DeadlineTooNear;
+        resolutions.push_back({entry->ticket.id, Refused{reason, waitAfter(queue_.work(entry->lane), entry->lane, entry->cost)}});
+        queue_.remove(entry->ticket.id);
     }
-    return resolutions;
+}
+
+void Gate::admitWaiting(Instant now, std::vector<Resolution>& resolutions)
+{
+    dropExpired(now, resolutions);
+    while (auto lane = queue_.firstLane()) {
+        if (!mayRun(*lane))
+            lane = *lane == Lane::Long && queue_.size(Lane::Short) > 0 ? Lane::Short : Lane::Long;
+        if (queue_.size(*lane) == 0 || !mayRun(*lane))
+            break;
+        auto entry = queue_.popFirst(*lane);
+        run(now, entry.ticket, entry.lane);
+        resolutions.push_back({entry.ticket.id, Admitted()});
+    }
+    noteEmptyLanes(now);
 }
 
 std::vector<Resolution> Gate::finish(Instant now, std::uint64_t ticket, bool hasSucceeded)
 {
-    auto found = running_.find(ticket);
-    if (found == running_.end())
+    auto node = running_.extract(ticket);
+    if (node.empty())
         return {};
-    const auto& running = found->second;
-    if (running.lane == Lane::Long)
-        --runningLong_;
+    const auto& running = node.mapped();
+    runningLong_ -= running.lane == Lane::Long ? 1 : 0;
+    auto service = now - running.since;
     if (hasSucceeded) {
-        double micros = static_cast<double>((now - running.since).count());
-        auto& average = serviceMicros_[running.route];
-        average += (average > 0 ? serviceTimeWeight : 1.0) * (micros - average);
-    }
-    running_.erase(found);
-    return admitWaiting(now);
+        double slowdown = classes_.slowdown(running.route, service);
+        classes_.learn(running.route, service, running.isUnloaded);
+        if (!options_.isUnlimited)
+            limiter_.finished(now, running.since, slowdown, classes_.typicalMicros(), !queue_.isEmpty());
+    } else
+        // A fast error says nothing of the work; one that was given up late says that it runs longer.
+        classes_.learnAtLeast(running.route, service);
+    std::vector<Resolution> resolutions;
+    admitWaiting(now, resolutions);
+    return resolutions;
 }
 
 void Gate::cancel(std::uint64_t ticket)
 {
-    std::erase_if(waiting_, [&](const Waiting& waiting) { return waiting.ticket.id == ticket; });
+    queue_.remove(ticket);
+}
+
+// Work that turns out to run long while it runs counts as long from then on.
+void Gate::recountLongRunning(Instant now)
+{
+    double overstay = overstayFactor * classes_.typicalMicros();
+    if (overstay <= 0 || options_.isUnlimited)
+        return;
+    for (auto& [id, running] : running_) {
+        auto elapsed = now - running.since;
+        if (running.lane == Lane::Long || running.hint == LaneHint::Short || static_cast<double>(elapsed.count()) < overstay)
+            continue;
+        classes_.learnAtLeast(running.route, elapsed);
+        running.lane = Lane::Long;
+        ++runningLong_;
+    }
 }
 
 std::vector<Resolution> Gate::tick(Instant now)
 {
     std::vector<Resolution> resolutions;
-    std::erase_if(waiting_, [&](const Waiting& waiting) {
-        bool isLate = waiting.ticket.deadline <= now;
-        bool isStale = now - waiting.since > options_.maximumQueueWait;
-        if (isLate || isStale)
-            resolutions.push_back({waiting.ticket.id, Refused{isLate ? RefusalReason::DeadlineTooNear : RefusalReason::WaitedTooLong, {}}});
-        return isLate || isStale;
-    });
-    for (auto& resolution : admitWaiting(now))
-        resolutions.push_back(resolution);
+    recountLongRunning(now);
+    admitWaiting(now, resolutions);
+    for (auto lane : lanes)
+        trim(now, lane, resolutions);
     return resolutions;
 }
 
 GateLoad Gate::load(Instant) const
 {
-    return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(waiting_.size()), options_.slots, expectedWait()};
+    GateLoad load;
+    load.running = static_cast<std::uint32_t>(running_.size());
+    load.queued = static_cast<std::uint32_t>(queue_.size());
+    load.limit = limiter_.limit();
+    load.runningLong = runningLong_;
+    load.longLimit = longLimit();
+    if (!mayRun(Lane::Short))
+        load.expectedWait = waitAfter(queue_.work(Lane::Short), Lane::Short, classes_.typicalMicros());
+    return load;
 }
 
 } // namespace balsamreel::Admission
--- /dev/null
+++ b/lib/Admission/Limiter.cpp
@@ -0,0 +1,118 @@
+#include "balsamreel/Admission/Limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamreel::Admission {
+
+using Support::Duration;
+using Support::Instant;
+
+namespace {
+
+constexpr std::size_t baseArm = 0;
+constexpr std::size_t trialArm = 1;
+// Windows alternate between the two limits, so that a slow neighbour that comes or goes meets both alike.
+constexpr unsigned windowsPerTrial = 8;
+constexpr std::uint32_t minimumSamples = 40;
+constexpr Duration minimumWindow = std::chrono::milliseconds(100);
+constexpr double windowPerServiceTime = 4;
+constexpr Duration firstRest = std::chrono::seconds(2);
+constexpr unsigned maximumRestDoublings = 4;
+constexpr std::uint32_t stepDivisor = 5;
+// A step must bring, or may cost, this part of the throughput that its slots would give if all were real.
+constexpr double requiredPart = 0.5;
+constexpr double slowdownWeight = 0.05;
+// Only a server that visibly queues inside is tried with less.
+constexpr double queueingSlowdown = 1.25;
+
+} // namespace
+
+Limiter::Limiter(LimiterOptions options)
+    : options_(options)
+    , baseLimit_(std::max<std::uint32_t>(1, options.slots))
+{
+}
+
+void Limiter::setOptions(const LimiterOptions& options)
+{
+    bool isAfresh = options.slots != options_.slots || options.maximumFactor != options_.maximumFactor;
+    if (isAfresh)
+        *this = Limiter(options);
+}
+
+void Limiter::rest(Instant now)
+{
+    stage_ = Stage::Resting;
+    isTrialWindow_ = false;
+    restUntil_ = now + firstRest * (1U << std::min(failures_, maximumRestDoublings));
+    hasRestEnd_ = true;
+}
+
+void Limiter::startTrial(Instant now)
+{
+    auto step = std::max<std::uint32_t>(1, baseLimit_ / stepDivisor);
+    auto ceiling = std::max<std::uint32_t>(options_.slots, static_cast<std::uint32_t>(options_.slots * options_.maximumFactor));
+    bool isUp = slowdown_ < queueingSlowdown;
+    trialLimit_ = isUp ? std::min(ceiling, baseLimit_ + step) : baseLimit_ - std::min(baseLimit_ - 1, step);
+    if (trialLimit_ == baseLimit_)
+        return rest(now);
+    stage_ = Stage::Trying;
+    window_ = 0;
+    arms_ = {};
+    isTrialWindow_ = true;
+    windowStart_ = now;
+}
+
+// By Little's law the throughput of a saturated server is its limit over its service time.
+void Limiter::endTrial(Instant now)
+{
+    const auto& base = arms_[baseArm];
+    const auto& trial = arms_[trialArm];
+    if (base.samples < minimumSamples || trial.samples < minimumSamples)
+        return rest(now);
+    double slots = static_cast<double>(trialLimit_) / baseLimit_;
+    double throughput = slots * base.mean() / trial.mean();
+    // Up: half of the added slots must be real. Down: at most half of the removed ones may have been.
+    bool isBetter = throughput >= 1 + requiredPart * (slots - 1);
+    if (isBetter) {
+        baseLimit_ = trialLimit_;
+        failures_ = 0;
+        return startTrial(now);
+    }
+    ++failures_;
+    rest(now);
+}
+
+void Limiter::nextWindow(Instant now)
+{
+    windowStart_ = now;
+    isTrialWindow_ = !isTrialWindow_;
+    if (++window_ == windowsPerTrial)
+        endTrial(now);
+}
+
+void Limiter::finished(Instant now, Instant startedAt, double slowdown, double typicalMicros, bool isSaturated)
+{
+    if (!hasRestEnd_)
+        rest(now);
+    if (isSaturated)
+        slowdown_ += slowdownWeight * (slowdown - slowdown_);
+    if (stage_ == Stage::Resting) {
+        if (isSaturated && now >= restUntil_)
+            startTrial(now);
+        return;
+    }
+    // Without saturation the limit does not bind, and service times say nothing of it.
+    // Work that began under the other limit belongs to neither.
+    if (isSaturated && startedAt >= windowStart_) {
+        auto& arm = arms_[isTrialWindow_ ? trialArm : baseArm];
+        arm.slowdownSum += slowdown;
+        ++arm.samples;
+    }
+    auto windowLength = std::max(minimumWindow, Duration(static_cast<Duration::rep>(windowPerServiceTime * typicalMicros)));
+    if (now - windowStart_ >= windowLength)
+        nextWindow(now);
+}
+
+} // namespace balsamreel::Admission
--- /dev/null
+++ b/lib/Admission/WorkClasses.cpp
@@ -0,0 +1,95 @@
+#include "balsamreel/Admission/WorkClasses.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamreel::Admission {
+
+using Support::Duration;
+
+namespace {
+
+constexpr double routeWeight = 0.1;
+constexpr double typicalWeight = 0.01;
+// A route is long from the first multiple of the typical time on, and short again below the second, so that it does not alternate.
+constexpr double longFactor = 8;
+constexpr double shortFactor = 4;
+
+double microsOf(Duration duration)
+{
+    return std::max(1.0, static_cast<double>(duration.count()));
+}
+
+} // namespace
+
+Lane WorkClasses::laneOf(const Ticket& ticket) const
+{
+    if (ticket.hint != LaneHint::Learn)
+        return ticket.hint == LaneHint::Long ? Lane::Long : Lane::Short;
+    auto found = routes_.find(ticket.route);
+    return found != routes_.end() && found->second.isLong ? Lane::Long : Lane::Short;
+}
+
+WorkClasses::RouteTime* WorkClasses::routeTime(const std::string& route)
+{
+    auto found = routes_.find(route);
+    if (found != routes_.end())
+        return &found->second;
+    return routes_.size() < maximumRoutes ? &routes_[route] : nullptr;
+}
+
+// The geometric mean weighs calls by number, so that neither a few very long calls nor one trivial
+// route moves the boundary for the rest.
+double WorkClasses::typicalMicros() const
+{
+    return hasTypical_ ? std::exp(typicalLog_) : 0;
+}
+
+void WorkClasses::reclassify(RouteTime& route) const
+{
+    double ratio = route.micros / std::max(1.0, typicalMicros());
+    if (ratio > longFactor)
+        route.isLong = true;
+    else if (ratio < shortFactor)
+        route.isLong = false;
+}
+
+void WorkClasses::learn(const std::string& route, Duration service, bool isUnloaded)
+{
+    double micros = microsOf(service);
+    typicalLog_ += (hasTypical_ ? typicalWeight : 1.0) * (std::log(micros) - typicalLog_);
+    hasTypical_ = true;
+    auto* time = routeTime(route);
+    if (!time)
+        return;
+    time->micros += (time->micros > 0 ? routeWeight : 1.0) * (micros - time->micros);
+    if (isUnloaded)
+        time->unloadedMicros += (time->unloadedMicros > 0 ? routeWeight : 1.0) * (micros - time->unloadedMicros);
+    reclassify(*time);
+}
+
+double WorkClasses::slowdown(const std::string& route, Duration service) const
+{
+    auto found = routes_.find(route);
+    bool isKnown = found != routes_.end() && found->second.unloadedMicros > 0;
+    return isKnown ? microsOf(service) / found->second.unloadedMicros : 1;
+}
+
+void WorkClasses::learnAtLeast(const std::string& route, Duration elapsed)
+{
+    auto* time = hasTypical_ ? routeTime(route) : nullptr;
+    if (!time || time->micros >= microsOf(elapsed))
+        return;
+    // Only a route that has never ended a call is raised at once; one slow call says little of a known route.
+    if (time->micros == 0 || time->isLong)
+        time->micros = microsOf(elapsed);
+    reclassify(*time);
+}
+
+double WorkClasses::expectedMicros(const std::string& route) const
+{
+    auto found = routes_.find(route);
+    return found != routes_.end() && found->second.micros > 0 ? found->second.micros : typicalMicros();
+}
+
+} // namespace balsamreel::Admission
--- a/lib/Config/Schema.cpp
+++ b/lib/Config/Schema.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t maximumDeadlineMillis = 3'600'000;
 constexpr std::int64_t maximumQueueMillis = 60'000;
 constexpr double maximumProbesPerSecond = 1000;
+constexpr double maximumLimitFactor = 8;
 constexpr std::size_t maximumNameBytes = 64;
 constexpr std::size_t maximumPathBytes = 1024;
 
@@ -108,6 +109,7 @@
     {"retry_ratio", [](const toml::node& node, Service& service) { return readReal(node, 0, 1, service.retryRatio); }},
     {"long_share", [](const toml::node& node, Service& service) { return readReal(node, 0, 1, service.longShare); }},
     {"probes_per_s", [](const toml::node& node, Service& service) { return readReal(node, 0, maximumProbesPerSecond, service.probesPerSecond); }},
+    {"limit_factor", [](const toml::node& node, Service& service) { return readReal(node, 1, maximumLimitFactor, service.limitFactor); }},
     {"queue_ms", [](const toml::node& node, Service& service) { return readMillis(node, 0, maximumQueueMillis, service.maximumQueueWait); }},
 };
 
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -80,6 +80,7 @@
         return options;
     options.longShare = service->second.longShare;
     options.maximumQueueWait = service->second.maximumQueueWait;
+    options.maximumLimitFactor = service->second.limitFactor;
     options.isUnlimited = options.isUnlimited || service->second.policy == Config::PolicyKind::Naive;
     return options;
 }
@@ -189,6 +190,7 @@
     auto& server = found->second;
     call.ticket.id = nextTicket_++;
     auto decision = server.gate.offer(monotonicNow(), call.ticket);
+    wake(server, server.gate.takeEvicted());
     if (!std::holds_alternative<Admission::Queued>(decision))
         return decision;
 
