--- /dev/null
+++ b/include/balsamreel/Store/Backoff.h
@@ -0,0 +1,33 @@
+// Growing, jittered delays between tries.
+#pragma once
+
+#include "balsamreel/Support/Clock.h"
+#include "balsamreel/Support/Random.h"
+
+namespace balsamreel::Store {
+
+struct BackoffOptions {
+    Support::Duration first = std::chrono::milliseconds(100);
+    Support::Duration longest = std::chrono::seconds(2);
+};
+
+/// Delays double up to the longest; each is drawn from the upper half, so that nodes do not stay in step.
+class Backoff {
+public:
+    Backoff(BackoffOptions options, std::uint64_t seed)
+        : options_(options)
+        , ceiling_(options.first)
+        , random_(seed)
+    {
+    }
+
+    Support::Duration next();
+    void reset() { ceiling_ = options_.first; }
+
+private:
+    BackoffOptions options_;
+    Support::Duration ceiling_;
+    Support::Random random_;
+};
+
+} // namespace balsamreel::Store
--- a/include/balsamreel/Store/Client.h
+++ b/include/balsamreel/Store/Client.h
@@ -1,76 +1,74 @@
-// Client of the platform's object store: versions, conditional updates, watches.
+// Client of the platform's object store over HTTP.
 #pragma once
 
-#include "balsamreel/Store/Errors.h"
-#include "balsamreel/Support/Clock.h"
+#include "balsamreel/Store/Breaker.h"
+#include "balsamreel/Store/CallBudget.h"
+#include "balsamreel/Store/ObjectStore.h"
 #include "balsamreel/Support/Endpoint.h"
 
 #include <atomic>
-#include <cstdint>
-#include <string>
-#include <system_error>
-#include <variant>
-#include <vector>
+#include <list>
+#include <memory>
+#include <mutex>
 
-namespace balsamreel::Store {
-
-struct Object {
-    std::string value;
-    std::uint64_t version = 0;
-};
+namespace Poco::Net {
+class HTTPClientSession;
+class HTTPResponse;
+} // namespace Poco::Net
 
-struct ListEntry {
-    std::string key;
-    std::uint64_t version = 0;
-};
-
-struct Listing {
-    std::vector<ListEntry> entries;
-    std::uint64_t revision = 0; ///< of the store as a whole; a watch goes on from here
-};
+namespace balsamreel::Store {
 
-/// Preconditions of an update.
-struct IfAbsent { };
-struct IfVersion {
-    std::uint64_t version = 0;
+struct ClientOptions {
+    Support::Duration timeout = std::chrono::seconds(2); ///< of one call, without the wait of a watch
+    double callsPerSecond = 20; ///< of this client, a waiting watch counted as one
+    double burst = 200; ///< calls that may be saved up
+    BreakerOptions breaker;
 };
-struct Always { };
-using Precondition = std::variant<IfAbsent, IfVersion, Always>;
 
-constexpr std::size_t maximumValueBytes = 1024 * 1024;
-
-/// Calls the store over HTTP, one connection a call at a time. Thread-safe.
-class Client {
+/// Calls the store over kept-alive connections, within a budget, and behind a circuit breaker. Thread-safe.
+class Client : public ObjectStore {
 public:
     explicit Client(Support::Endpoint store, Support::Duration timeout = std::chrono::seconds(2));
+    Client(Support::Endpoint store, const ClientOptions&);
+    ~Client() override;
+    Client(const Client&) = delete;
+    Client& operator=(const Client&) = delete;
 
-    /// Errors: NotFound, Unavailable, Malformed.
-    std::error_code get(const std::string& key, Object&);
-
-    /// Errors: Unavailable, Malformed.
-    std::error_code list(const std::string& prefix, Listing&);
-
-    /// Writes if the precondition holds and gives the new version.
-    /// Errors: VersionConflict, Unavailable, OutcomeUnknown, TooLarge.
-    std::error_code put(const std::string& key, const std::string& value, const Precondition&, std::uint64_t& version);
-
-    /// Errors: NotFound, VersionConflict, Unavailable, OutcomeUnknown.
-    std::error_code remove(const std::string& key, const Precondition&);
+    std::error_code get(const std::string& key, Object&) override;
+    std::error_code list(const std::string& prefix, Listing&) override;
+    std::error_code put(const std::string& key, const std::string& value, const Precondition&, std::uint64_t& version) override;
+    std::error_code remove(const std::string& key, const Precondition&) override;
 
     /// Waits until something below the prefix is newer than revision, or the time is up; gives the newest revision.
-    /// Errors: Unavailable, Malformed.
+    /// Errors: Unavailable, BudgetSpent, Malformed.
     std::error_code watch(const std::string& prefix, std::uint64_t revision, Support::Duration wait, std::uint64_t& newest);
 
     /// Number of calls made so far.
     std::uint64_t calls() const { return calls_; }
 
+    /// The store has failed often enough that calls are held back.
+    bool isOpen() const;
+
 private:
+    struct Request;
     struct Reply;
-    std::error_code call(const std::string& method, const std::string& uri, const std::string& body, const Precondition&, Support::Duration timeout, Reply&);
+    struct Connection;
+
+    std::error_code call(const Request&, Reply&);
+    std::error_code exchange(const Request&, Connection&, Reply&);
+    std::error_code admit();
+    std::error_code settleBreaker(std::error_code);
+    std::unique_ptr<Connection> acquire();
+    void release(std::unique_ptr<Connection>);
+    void dropIdle();
 
     Support::Endpoint store_;
-    Support::Duration timeout_;
+    ClientOptions options_;
     std::atomic<std::uint64_t> calls_{0};
+    mutable std::mutex mutex_;
+    CallBudget budget_; ///< guarded by mutex_
+    Breaker breaker_; ///< guarded by mutex_
+    std::list<std::unique_ptr<Connection>> idle_; ///< guarded by mutex_
 };
 
 } // namespace balsamreel::Store
--- /dev/null
+++ b/lib/Store/Breaker.cpp
@@ -0,0 +1,54 @@
+#include "balsamreel/Store/Breaker.h"
+
+namespace balsamreel::Store {
+
+void Breaker::open(Support::Instant now)
+{
+    state_ = BreakerState::Open;
+    isTrialRunning_ = false;
+    goodTrials_ = 0;
+    openUntil_ = now + backoff_.next();
+}
+
+bool Breaker::allows(Support::Instant now)
+{
+    if (state_ == BreakerState::Closed)
+        return true;
+    if (state_ == BreakerState::Open) {
+        if (now < openUntil_)
+            return false;
+        state_ = BreakerState::HalfOpen;
+    }
+    if (isTrialRunning_) {
+        if (now - trialStarted_ >= options_.trialLimit)
+            open(now);
+        return false;
+    }
+    isTrialRunning_ = true;
+    trialStarted_ = now;
+    return true;
+}
+
+void Breaker::onResult(Support::Instant now, bool isGood)
+{
+    if (state_ == BreakerState::Open) {
+        // The call was made before the breaker opened; its result is old news.
+        return;
+    }
+    if (!isGood) {
+        ++failures_;
+        if (state_ == BreakerState::HalfOpen || failures_ >= options_.failuresToOpen)
+            open(now);
+        return;
+    }
+    failures_ = 0;
+    if (state_ == BreakerState::Closed)
+        return;
+    isTrialRunning_ = false;
+    if (++goodTrials_ < options_.trialsToClose)
+        return;
+    state_ = BreakerState::Closed;
+    backoff_.reset();
+}
+
+} // namespace balsamreel::Store
--- a/lib/Store/Client.cpp
+++ b/lib/Store/Client.cpp
@@ -1,6 +1,6 @@
 #include "balsamreel/Store/Client.h"
 
-#include "balsamreel/Support/Http.h"
+#include "balsamreel/Support/Random.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -10,17 +10,26 @@
 #include <Poco/URI.h>
 #include <fmt/format.h>
 
+#include <array>
 #include <charconv>
+#include <istream>
 
 namespace balsamreel::Store {
 
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
+using Support::Duration;
 
 namespace {
 
 // A listing may be larger than one value.
 constexpr std::size_t maximumAnswerBytes = 8 * maximumValueBytes;
+// Shorter than what servers commonly keep idle connections open.
+constexpr Duration maximumIdle = std::chrono::seconds(5);
+constexpr std::size_t maximumIdleConnections = 4;
+
+const std::string noBody;
+const Precondition unconditional = Always();
 
 std::string encodeKey(const std::string& key)
 {
@@ -37,11 +46,26 @@
     return version;
 }
 
-Poco::Timespan timespanOf(Support::Duration duration)
+Poco::Timespan timespanOf(Duration duration)
 {
     return Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(duration.count()));
 }
 
+// Reads an answer of bounded size; a store that sends it drop by drop is given up at the deadline.
+std::error_code readAnswer(std::istream& stream, Support::Instant deadline, std::string& body)
+{
+    constexpr std::size_t chunkBytes = 16 * 1024;
+    std::array<char, chunkBytes> chunk;
+    while (stream.read(chunk.data(), chunk.size()) || stream.gcount() > 0) {
+        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > maximumAnswerBytes)
+            return StoreError::Malformed;
+        if (Support::monotonicNow() > deadline)
+            return StoreError::Unavailable;
+    }
+    return {};
+}
+
 struct PreconditionWriter {
     HTTPRequest& request;
     void operator()(const IfAbsent&) const { request.set("If-None-Match", "*"); }
@@ -67,50 +91,168 @@
 
 } // namespace
 
+struct Client::Request {
+    std::string method;
+    std::string uri;
+    const std::string& body;
+    const Precondition& precondition;
+    Duration wait = Duration::zero(); ///< that the store itself waits before it answers
+
+    bool isUpdate() const { return method == HTTPRequest::HTTP_PUT || method == HTTPRequest::HTTP_DELETE; }
+};
+
 struct Client::Reply {
     std::string body;
     std::uint64_t version = 0;
 };
 
-Client::Client(Support::Endpoint store, Support::Duration timeout)
+struct Client::Connection {
+    explicit Connection(const Support::Endpoint& store)
+        : session(store.host, store.port)
+    {
+        session.setKeepAlive(true);
+    }
+
+    // An idle connection that has something to read has been closed or is out of step.
+    bool isStale(Support::Instant now) { return now - idleSince > maximumIdle || !session.connected() || session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ); }
+
+    Poco::Net::HTTPClientSession session;
+    Support::Instant idleSince;
+    bool isReused = false;
+};
+
+Client::Client(Support::Endpoint store, Duration timeout)
+    : Client(std::move(store), ClientOptions{.timeout = timeout})
+{
+}
+
+Client::Client(Support::Endpoint store, const ClientOptions& options)
     : store_(std::move(store))
-    , timeout_(timeout)
+    , options_(options)
+    , budget_(options.callsPerSecond, options.burst)
+    , breaker_(options.breaker, Support::randomSeed())
+{
+}
+
+Client::~Client() = default;
+
+bool Client::isOpen() const
 {
+    std::lock_guard lock(mutex_);
+    return breaker_.state() != BreakerState::Closed;
 }
 
-std::error_code Client::call(const std::string& method, const std::string& uri, const std::string& body, const Precondition& precondition, Support::Duration timeout, Reply& reply)
+std::error_code Client::admit()
+{
+    std::lock_guard lock(mutex_);
+    auto now = Support::monotonicNow();
+    // The budget is looked at first, so that a trial of the breaker is not used up by a call that is not made.
+    if (budget_.available(now) < 1)
+        return StoreError::BudgetSpent;
+    if (!breaker_.allows(now))
+        return StoreError::Unavailable;
+    budget_.take(now);
+    return {};
+}
+
+std::error_code Client::settleBreaker(std::error_code error)
+{
+    std::lock_guard lock(mutex_);
+    bool isGood = error != StoreError::Unavailable && error != StoreError::OutcomeUnknown && error != StoreError::Malformed;
+    breaker_.onResult(Support::monotonicNow(), isGood);
+    return error;
+}
+
+std::unique_ptr<Client::Connection> Client::acquire()
+{
+    std::lock_guard lock(mutex_);
+    auto now = Support::monotonicNow();
+    while (!idle_.empty()) {
+        auto connection = std::move(idle_.back());
+        idle_.pop_back();
+        if (connection->isStale(now))
+            continue;
+        connection->isReused = true;
+        return connection;
+    }
+    return std::make_unique<Connection>(store_);
+}
+
+void Client::release(std::unique_ptr<Connection> connection)
+{
+    std::lock_guard lock(mutex_);
+    connection->idleSince = Support::monotonicNow();
+    if (idle_.size() < maximumIdleConnections)
+        idle_.push_back(std::move(connection));
+}
+
+void Client::dropIdle()
+{
+    std::lock_guard lock(mutex_);
+    idle_.clear();
+}
+
+std::error_code Client::exchange(const Request& request, Connection& connection, Reply& reply)
 {
-    ++calls_;
-    bool isUpdate = method == HTTPRequest::HTTP_PUT || method == HTTPRequest::HTTP_DELETE;
     bool wasSent = false;
+    auto lost = [&] { return request.isUpdate() && wasSent ? StoreError::OutcomeUnknown : StoreError::Unavailable; };
     try {
-        Poco::Net::HTTPClientSession session(store_.host, store_.port);
-        session.setTimeout(timespanOf(timeout_), timespanOf(timeout_), timespanOf(timeout));
-        HTTPRequest request(method, uri, HTTPRequest::HTTP_1_1);
-        request.setContentLength(static_cast<std::streamsize>(body.size()));
-        std::visit(PreconditionWriter{request}, precondition);
+        auto timeout = timespanOf(options_.timeout);
+        auto deadline = Support::monotonicNow() + options_.timeout + request.wait;
+        connection.session.setTimeout(timeout, timeout, timespanOf(options_.timeout + request.wait));
+        HTTPRequest head(request.method, request.uri, HTTPRequest::HTTP_1_1);
+        head.setKeepAlive(true);
+        head.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        std::visit(PreconditionWriter{head}, request.precondition);
+        // From here on a failure may come after the store has taken the update.
         wasSent = true;
-        session.sendRequest(request) << body;
+        connection.session.sendRequest(head) << request.body << std::flush;
         HTTPResponse response;
-        auto& stream = session.receiveResponse(response);
-        if (!Support::readBody(stream, maximumAnswerBytes, reply.body))
-            return StoreError::Malformed;
+        auto& stream = connection.session.receiveResponse(response);
+        auto error = readAnswer(stream, deadline, reply.body);
         auto length = response.getContentLength64();
-        if (length >= 0 && static_cast<std::size_t>(length) != reply.body.size())
-            return isUpdate ? StoreError::OutcomeUnknown : StoreError::Unavailable;
+        bool isCut = length >= 0 && static_cast<std::size_t>(length) != reply.body.size();
+        if (error == StoreError::Unavailable || (!error && isCut))
+            return lost();
+        if (error)
+            return request.isUpdate() ? lost() : StoreError::Malformed;
         reply.version = parseTag(response.get("ETag", ""));
         return errorOfStatus(response.getStatus());
     } catch (const Poco::Net::ConnectionRefusedException&) {
         return StoreError::Unavailable;
     } catch (const Poco::Exception&) {
-        return isUpdate && wasSent ? StoreError::OutcomeUnknown : StoreError::Unavailable;
+        return lost();
+    }
+}
+
+std::error_code Client::call(const Request& request, Reply& reply)
+{
+    if (auto error = admit())
+        return error;
+    ++calls_;
+    auto connection = acquire();
+    auto error = exchange(request, *connection, reply);
+    bool isBroken = error == StoreError::Unavailable || error == StoreError::OutcomeUnknown || error == StoreError::Malformed;
+    if (!isBroken) {
+        release(std::move(connection));
+        return settleBreaker({error});
     }
+    // One connection that went silent casts doubt on the others that have been idle as long.
+    dropIdle();
+    bool mayRepeat = connection->isReused && error == StoreError::Unavailable && !request.isUpdate() && request.wait == Duration::zero();
+    settleBreaker(error);
+    if (!mayRepeat || admit())
+        return error;
+    ++calls_;
+    reply = {};
+    Connection fresh(store_);
+    return settleBreaker(exchange(request, fresh, reply));
 }
 
 std::error_code Client::get(const std::string& key, Object& object)
 {
     Reply reply;
-    if (auto error = call(HTTPRequest::HTTP_GET, "/v1/objects/" + encodeKey(key), {}, Always(), timeout_, reply))
+    if (auto error = call({HTTPRequest::HTTP_GET, "/v1/objects/" + encodeKey(key), noBody, unconditional}, reply))
         return error;
     object.value = std::move(reply.body);
     object.version = reply.version;
@@ -120,8 +262,9 @@
 std::error_code Client::list(const std::string& prefix, Listing& listing)
 {
     Reply reply;
-    if (auto error = call(HTTPRequest::HTTP_GET, "/v1/list?prefix=" + encodeKey(prefix), {}, Always(), timeout_, reply))
+    if (auto error = call({HTTPRequest::HTTP_GET, "/v1/list?prefix=" + encodeKey(prefix), noBody, unconditional}, reply))
         return error;
+    listing = {};
     try {
         auto root = Poco::JSON::Parser().parse(reply.body).extract<Poco::JSON::Object::Ptr>();
         listing.revision = root->getValue<Poco::UInt64>("revision");
@@ -141,7 +284,7 @@
     if (value.size() > maximumValueBytes)
         return StoreError::TooLarge;
     Reply reply;
-    if (auto error = call(HTTPRequest::HTTP_PUT, "/v1/objects/" + encodeKey(key), value, precondition, timeout_, reply))
+    if (auto error = call({HTTPRequest::HTTP_PUT, "/v1/objects/" + encodeKey(key), value, precondition}, reply))
         return error;
     version = reply.version;
     return {};
@@ -150,7 +293,7 @@
 std::error_code Client::remove(const std::string& key, const Precondition& precondition)
 {
     Reply reply;
-    return call(HTTPRequest::HTTP_DELETE, "/v1/objects/" + encodeKey(key), {}, precondition, timeout_, reply);
+    return call({HTTPRequest::HTTP_DELETE, "/v1/objects/" + encodeKey(key), noBody, precondition}, reply);
 }
 
 std::error_code Client::watch(const std::string& prefix, std::uint64_t revision, Support::Duration wait, std::uint64_t& newest)
@@ -158,7 +301,7 @@
     Reply reply;
     auto waitMillis = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     auto uri = fmt::format("/v1/watch?prefix={}&after={}&wait_ms={}", encodeKey(prefix), revision, waitMillis);
-    if (auto error = call(HTTPRequest::HTTP_GET, uri, {}, Always(), wait + timeout_, reply))
+    if (auto error = call({HTTPRequest::HTTP_GET, uri, noBody, unconditional, wait}, reply))
         return error;
     try {
         auto root = Poco::JSON::Parser().parse(reply.body).extract<Poco::JSON::Object::Ptr>();
--- /dev/null
+++ b/unittests/Store/DecisionsTest.cpp
@@ -0,0 +1,101 @@
+// Budget, breaker and backoff of the store client, on a virtual clock.
+#include "balsamreel/Store/Breaker.h"
+#include "balsamreel/Store/CallBudget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace balsamreel::Store {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Support::Duration;
+using Support::Instant;
+
+constexpr Instant start{seconds(1000)};
+
+RC_GTEST_PROP(CallBudget, NeverGivesMoreThanBurstAndRate, ())
+{
+    auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 500));
+    CallBudget budget(10, 5);
+    auto now = start;
+    int taken = 0;
+    for (int step : steps) {
+        now += milliseconds(step);
+        taken += budget.take(now) ? 1 : 0;
+        std::chrono::duration<double> elapsed = now - start;
+        RC_ASSERT(taken <= 5 + 10 * elapsed.count() + 1e-6);
+    }
+}
+
+TEST(CallBudget, RefillsAndIgnoresAClockThatGoesBack)
+{
+    CallBudget budget(10, 2);
+    EXPECT_TRUE(budget.take(start));
+    EXPECT_TRUE(budget.take(start));
+    EXPECT_FALSE(budget.take(start - seconds(5)));
+    EXPECT_FALSE(budget.take(start + milliseconds(99)));
+    EXPECT_TRUE(budget.take(start + milliseconds(100)));
+}
+
+TEST(Backoff, GrowsToItsLimitWithJitter)
+{
+    Backoff backoff({milliseconds(100), seconds(1)}, 7);
+    for (int ceiling : {100, 200, 400, 800, 1000, 1000}) {
+        auto delay = backoff.next();
+        EXPECT_GE(delay, milliseconds(ceiling) / 2);
+        EXPECT_LE(delay, milliseconds(ceiling));
+    }
+    backoff.reset();
+    EXPECT_LE(backoff.next(), milliseconds(100));
+}
+
+TEST(Breaker, OpensThenLetsOneTrialAtATimePass)
+{
+    Breaker breaker({.failuresToOpen = 2, .trialsToClose = 2}, 1);
+    breaker.onResult(start, false);
+    EXPECT_TRUE(breaker.allows(start));
+    breaker.onResult(start, false);
+    EXPECT_FALSE(breaker.allows(start));
+    auto later = start + seconds(3);
+    EXPECT_TRUE(breaker.allows(later));
+    EXPECT_FALSE(breaker.allows(later));
+    breaker.onResult(later, true);
+    EXPECT_EQ(breaker.state(), BreakerState::HalfOpen);
+    EXPECT_TRUE(breaker.allows(later));
+    EXPECT_FALSE(breaker.allows(later));
+    breaker.onResult(later, true);
+    EXPECT_EQ(breaker.state(), BreakerState::Closed);
+}
+
+TEST(Breaker, ATrialWithoutAResultDoesNotLockItForGood)
+{
+    Breaker breaker({.failuresToOpen = 1}, 1);
+    breaker.onResult(start, false);
+    auto later = start + seconds(3);
+    EXPECT_TRUE(breaker.allows(later));
+    EXPECT_FALSE(breaker.allows(later + seconds(11)));
+    EXPECT_TRUE(breaker.allows(later + seconds(14)));
+}
+
+RC_GTEST_PROP(Breaker, InAnOutageCallsStayWithinOneAPause, ())
+{
+    auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    BreakerOptions options;
+    Breaker breaker(options, seed);
+    int calls = 0;
+    for (int tick = 0; tick < 6000; ++tick) {
+        auto now = start + milliseconds(10 * tick);
+        if (!breaker.allows(now))
+            continue;
+        ++calls;
+        breaker.onResult(now, false);
+    }
+    // A minute at a pause of at least one second, and the few before the longest pause is reached.
+    RC_ASSERT(calls <= 70);
+    RC_ASSERT(calls >= 30);
+}
+
+} // namespace
+} // namespace balsamreel::Store
