Accept only folders that stood at one moment; index routes

Cause: head and files were read by separate calls, so a folder edited in between was accepted as a mix that never was, and each look cost a call per file. One listing now gives the folder and the head's version at one moment; files are kept by version, a file that differs from the listing starts the read anew. Keys move below DEPLOYMENT/config/, so that claims and status wake no watch. An empty folder, odd file names and a merge that does not fit the head are refused by name; a head that was lost comes back under a generation above the one in force. Of two routes with one path, one that names the method now goes before one that takes any; before, the name decided. Ruled out: compressing the head (140 services with 10 routes each take under 400 KB), a second listing after the read (versions are unique, so the first is enough).

--- a/include/balsamreel/Config/Files.h
+++ b/include/balsamreel/Config/Files.h
@@ -47,7 +47,15 @@
 std::string encodeHead(const Head&);
 std::optional<Head> decodeHead(const std::string& text);
 
-/// Prefix of the operators' files and key of the head, below a deployment's prefix.
+constexpr std::size_t maximumFileNameBytes = 128;
+
+/// The name may be used for a file of the folder.
+bool isFileName(const std::string&);
+
+/// Prefix of all that configuration keeps in the store, below a deployment's prefix.
+std::string configPrefix(const std::string& deployment);
+
+/// Prefix of the operators' files and key of the head, both below configPrefix.
 std::string filesPrefix(const std::string& deployment);
 std::string headKey(const std::string& deployment);
 
--- a/include/balsamreel/Config/Model.h
+++ b/include/balsamreel/Config/Model.h
@@ -32,6 +32,8 @@
     double longShare = 0.5; ///< largest share of a server's slots for long work
     double probesPerSecond = 5; ///< most probes one node sends for this service
     Support::Duration maximumQueueWait = std::chrono::milliseconds(500);
+
+    bool operator==(const Service&) const = default;
 };
 
 struct Route {
@@ -44,6 +46,8 @@
     unsigned priority = defaultPriority; ///< 0 is the most urgent
     Support::Duration deadline = Support::Duration::zero(); ///< zero: the service's
 
+    bool operator==(const Route&) const = default;
+
     static constexpr unsigned defaultPriority = 5;
     static constexpr unsigned lowestPriority = 9;
 };
@@ -51,9 +55,13 @@
 struct Configuration {
     std::map<std::string, Service> services;
     std::map<std::string, Route> routes;
+
+    bool operator==(const Configuration&) const = default;
 };
 
 /// The route with the longest path that is a prefix of the request's path and that takes the method; null if none.
+/// Of routes with the same path, one that names the method goes before one that takes any. Looks at every route;
+/// RouteIndex gives the same answer faster.
 const Route* findRoute(const Configuration&, const std::string& method, const std::string& path);
 
 } // namespace balsamreel::Config
--- a/include/balsamreel/Node/ConfigFollower.h
+++ b/include/balsamreel/Node/ConfigFollower.h
@@ -5,6 +5,7 @@
 #include "balsamreel/Node/Context.h"
 #include "balsamreel/Node/Gossip.h"
 #include "balsamreel/Store/Client.h"
+#include <optional>
 
 #include <atomic>
 #include <condition_variable>
@@ -38,6 +39,7 @@
     Context& context_;
     Gossip& gossip_;
     std::optional<Store::Client> store_;
+    std::optional<Config::Acceptor> acceptor_;
     std::uint64_t revision_ = 0; ///< of the store, seen by the last watch
     mutable std::mutex mutex_;
     std::condition_variable ending_;
--- a/include/balsamreel/Node/Context.h
+++ b/include/balsamreel/Node/Context.h
@@ -3,6 +3,7 @@
 
 #include "balsamreel/Balance/Balancer.h"
 #include "balsamreel/Config/Files.h"
+#include "balsamreel/Config/RouteIndex.h"
 #include "balsamreel/Node/Exchange.h"
 #include "balsamreel/Support/Endpoint.h"
 #include "balsamreel/Support/Metrics.h"
@@ -35,8 +36,18 @@
 
 /// A configuration in force.
 struct ActiveConfig {
+    ActiveConfig(Config::Head acceptedHead, Config::Configuration checked)
+        : head(std::move(acceptedHead))
+        , configuration(std::move(checked))
+        , routes(configuration)
+    {
+    }
+    ActiveConfig(const ActiveConfig&) = delete;
+    ActiveConfig& operator=(const ActiveConfig&) = delete;
+
     Config::Head head;
     Config::Configuration configuration;
+    Config::RouteIndex routes; ///< of the configuration above
 };
 
 /// The configuration in force; only higher generations replace it. Thread-safe.
--- a/lib/Config/Acceptor.cpp
+++ b/lib/Config/Acceptor.cpp
@@ -1,6 +1,7 @@
 #include "balsamreel/Config/Acceptor.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace balsamreel::Config {
 
@@ -8,95 +9,200 @@
 
 namespace {
 
-std::error_code readFiles(Store::Client& store, const std::string& prefix, const Store::Listing& listing, std::vector<File>& files)
+// A folder that is edited while it is read is read again, but not for ever.
+constexpr unsigned maximumReads = 4;
+
+std::map<std::string, std::uint64_t> versionsOf(const Store::Listing& files)
 {
-    for (const auto& entry : listing.entries) {
-        Store::Object object;
-        auto error = store.get(entry.key, object);
-        if (error == StoreError::NotFound)
-            continue;
-        if (error)
-            return error;
-        files.push_back({entry.key.substr(prefix.size()), std::move(object.value), object.version});
+    std::map<std::string, std::uint64_t> versions;
+    for (const auto& entry : files.entries)
+        versions[entry.key] = entry.version;
+    return versions;
+}
+
+bool isSameHead(const Head& first, const Head& second)
+{
+    return first.generation == second.generation && first.fileVersions == second.fileVersions && first.mergedText == second.mergedText;
+}
+
+} // namespace
+
+MergeResult checkFolder(const std::vector<File>& files)
+{
+    auto result = mergeFiles(files);
+    Head head{1, {}, result.mergedText};
+    for (const auto& file : files) {
+        head.fileVersions[file.name] = file.version;
+        if (!isFileName(file.name))
+            result.diagnostics.push_back({file.name, 0, 0, {}, fmt::format("file names have 1 to {} letters, digits, '.', '_' or '-', and do not start with '.'", maximumFileNameBytes)});
     }
-    return {};
+    // The versions may yet grow, so a margin is kept for their digits.
+    constexpr std::size_t bytesPerVersion = 20;
+    auto size = encodeHead(head).size() + bytesPerVersion * (files.size() + 1);
+    if (result.diagnostics.empty() && size > Store::maximumValueBytes)
+        result.diagnostics.push_back({"(all files)", 0, 0, {}, fmt::format("merged they take {} bytes; the object store takes at most {}", size, Store::maximumValueBytes)});
+    return result;
 }
 
-bool isSameFolder(const Head& head, const Store::Listing& listing, const std::string& prefix)
+std::error_code Acceptor::readSnapshot(Snapshot& snapshot)
 {
-    if (head.fileVersions.size() != listing.entries.size())
-        return false;
-    return std::ranges::all_of(listing.entries, [&](const auto& entry) {
-        auto found = head.fileVersions.find(entry.key.substr(prefix.size()));
-        return found != head.fileVersions.end() && found->second == entry.version;
-    });
+    // One listing gives the folder and the head's version at one moment. So if the head is still the same at the
+    // update, nobody has accepted a newer folder in between, however long this node was paused.
+    Store::Listing listing;
+    if (auto error = store_.list(configPrefix(deployment_), listing))
+        return error;
+    auto prefix = filesPrefix(deployment_);
+    snapshot = {};
+    for (auto& entry : listing.entries) {
+        if (entry.key == headKey(deployment_))
+            snapshot.headVersion = entry.version;
+        else if (entry.key.starts_with(prefix))
+            snapshot.files.entries.push_back({entry.key.substr(prefix.size()), entry.version});
+    }
+    return snapshot.headVersion == headVersion_ ? std::error_code() : readHead(snapshot.headVersion);
 }
 
-std::error_code readHead(Store::Client& store, const std::string& key, Head& head, Store::Precondition& precondition)
+std::error_code Acceptor::readHead(std::uint64_t version)
 {
     Store::Object object;
-    auto error = store.get(key, object);
-    if (error == StoreError::NotFound) {
-        precondition = Store::IfAbsent();
-        return {};
+    if (version > 0) {
+        if (auto error = store_.get(headKey(deployment_), object); error && error != StoreError::NotFound)
+            return error;
     }
-    if (error)
-        return error;
-    auto decoded = decodeHead(object.value);
-    if (!decoded)
-        return StoreError::Malformed;
-    head = std::move(*decoded);
-    precondition = Store::IfVersion{object.version};
+    // A head that can't be read counts as none: the folder is accepted anew, under a higher generation.
+    head_ = decodeHead(object.value).value_or(Head());
+    headVersion_ = object.version;
     return {};
 }
 
-} // namespace
-
-std::error_code readFolder(Store::Client& store, const std::string& deployment, std::vector<File>& files)
+std::error_code Acceptor::readFiles(const Snapshot& snapshot)
 {
-    auto prefix = filesPrefix(deployment);
-    Store::Listing listing;
-    if (auto error = store.list(prefix, listing))
-        return error;
-    return readFiles(store, prefix, listing, files);
+    std::map<std::string, File> files;
+    for (const auto& entry : snapshot.files.entries) {
+        auto known = files_.find(entry.key);
+        if (known != files_.end() && known->second.version == entry.version) {
+            files.insert(*known);
+            continue;
+        }
+        Store::Object object;
+        if (auto error = store_.get(filesPrefix(deployment_) + entry.key, object))
+            return error;
+        // Edited since the listing: a mix of both moments is a folder that never was.
+        if (object.version != entry.version)
+            return StoreError::VersionConflict;
+        files[entry.key] = {entry.key, std::move(object.value), object.version};
+    }
+    files_ = std::move(files);
+    return {};
 }
 
-AcceptResult acceptFolder(Store::Client& store, const std::string& deployment)
+AcceptResult Acceptor::resultOf(const Snapshot& snapshot) const
 {
-    auto prefix = filesPrefix(deployment);
     AcceptResult result;
-    // The head is read before the files: if it is still the same at the update, no
-    // one has accepted a newer folder in between, so the update can't undo a change.
-    Store::Precondition precondition;
-    Store::Listing listing;
-    result.error = readHead(store, headKey(deployment), result.head, precondition);
-    if (!result.error)
-        result.error = store.list(prefix, listing);
-    if (result.error || isSameFolder(result.head, listing, prefix) || (listing.entries.empty() && result.head.generation == 0))
-        return result;
-
-    std::vector<File> files;
-    result.error = readFiles(store, prefix, listing, files);
-    if (result.error)
+    result.head = head_;
+    auto versions = versionsOf(snapshot.files);
+    if (versions == head_.fileVersions && head_.generation > 0)
         return result;
-    auto merge = mergeFiles(files);
-    result.diagnostics = std::move(merge.diagnostics);
-    if (!result.diagnostics.empty())
+    // An empty folder more likely means a wrong prefix or a store that has lost its data than a wish to serve
+    // nothing, which a file with only a comment says too.
+    if (versions.empty()) {
+        if (head_.generation > 0)
+            result.diagnostics.push_back({"(no file)", 0, 0, {}, "the folder is empty; the last accepted generation stays in force"});
         return result;
+    }
+    if (versions == refusedVersions_)
+        result.diagnostics = diagnostics_;
+    result.isPending = result.diagnostics.empty();
+    return result;
+}
 
-    Head next{result.head.generation + 1, {}, std::move(merge.mergedText)};
-    for (const auto& file : files)
-        next.fileVersions[file.name] = file.version;
+AcceptResult Acceptor::look()
+{
+    Snapshot snapshot;
+    if (auto error = readSnapshot(snapshot))
+        return {.error = error};
+    return resultOf(snapshot);
+}
+
+std::error_code Acceptor::acceptSnapshot(const Snapshot& snapshot, std::uint64_t knownGeneration, AcceptResult& result)
+{
+    if (auto error = readFiles(snapshot))
+        return error;
+    std::vector<File> files;
+    for (const auto& [name, file] : files_)
+        files.push_back(file);
+    auto merge = checkFolder(files);
+    if (!merge.diagnostics.empty()) {
+        diagnostics_ = std::move(merge.diagnostics);
+        refusedVersions_ = versionsOf(snapshot.files);
+        result = resultOf(snapshot);
+        return {};
+    }
+    Head next{std::max(head_.generation, knownGeneration) + 1, versionsOf(snapshot.files), std::move(merge.mergedText)};
+    Store::Precondition precondition = Store::IfAbsent();
+    if (headVersion_ > 0)
+        precondition = Store::IfVersion{headVersion_};
     std::uint64_t version = 0;
-    auto error = store.put(headKey(deployment), encodeHead(next), precondition, version);
+    auto error = store_.put(headKey(deployment_), encodeHead(next), precondition, version);
     if (!error) {
-        result.head = std::move(next);
+        head_ = next;
+        headVersion_ = version;
+    } else if (error == StoreError::OutcomeUnknown || error == StoreError::VersionConflict) {
+        // Whoever won, and whether a lost answer hid the own success, is what the store says now.
+        result = look();
+    } else {
+        return error;
+    }
+    if (!result.error && isSameHead(head_, next)) {
+        result.head = next;
         result.isNew = true;
-        return result;
+        result.isPending = false;
+    }
+    return result.error;
+}
+
+AcceptResult Acceptor::accept(std::uint64_t knownGeneration)
+{
+    AcceptResult result;
+    for (unsigned reads = 0; reads < maximumReads; ++reads) {
+        Snapshot snapshot;
+        if (auto error = readSnapshot(snapshot))
+            return {.error = error};
+        result = resultOf(snapshot);
+        if (!result.isPending)
+            return result;
+        result.error = acceptSnapshot(snapshot, knownGeneration, result);
+        bool isMoving = result.error == StoreError::VersionConflict || result.error == StoreError::NotFound || (!result.error && result.isPending);
+        if (!isMoving)
+            return result;
+        result.error = {};
+        result.isPending = true;
     }
-    // Whoever won, and whether a lost answer hid our own success, is what the head says now.
-    result.error = readHead(store, headKey(deployment), result.head, precondition);
     return result;
 }
 
+std::error_code readFolder(Store::ObjectStore& store, const std::string& deployment, std::vector<File>& files)
+{
+    auto prefix = filesPrefix(deployment);
+    std::error_code error;
+    for (unsigned reads = 0; reads < maximumReads; ++reads) {
+        Store::Listing listing;
+        if (error = store.list(prefix, listing); error)
+            return error;
+        files.clear();
+        for (const auto& entry : listing.entries) {
+            Store::Object object;
+            error = store.get(entry.key, object);
+            if (!error && object.version != entry.version)
+                error = StoreError::VersionConflict;
+            if (error)
+                break;
+            files.push_back({entry.key.substr(prefix.size()), std::move(object.value), object.version});
+        }
+        if (!error || (error != StoreError::VersionConflict && error != StoreError::NotFound))
+            return error;
+    }
+    return error;
+}
+
 } // namespace balsamreel::Config
--- a/lib/Config/Files.cpp
+++ b/lib/Config/Files.cpp
@@ -3,6 +3,7 @@
 #include "Schema.h"
 
 #include <algorithm>
+#include <cctype>
 #include <fmt/format.h>
 #include <sstream>
 
@@ -148,14 +149,19 @@
 
 void checkOverlaps(const Origins& origins, MergeResult& result)
 {
-    const auto& routes = result.configuration.routes;
-    for (auto first = routes.begin(); first != routes.end(); ++first) {
-        for (auto second = std::next(first); second != routes.end(); ++second) {
-            if (first->second.path.empty() || !overlap(first->second, second->second))
+    // Only routes of the same path can overlap, which keeps the check fast for thousands of routes.
+    std::map<std::string_view, std::vector<const Route*>> routesByPath;
+    for (const auto& [name, route] : result.configuration.routes) {
+        if (route.path.empty())
+            continue;
+        auto& others = routesByPath[route.path];
+        for (const auto* other : others) {
+            if (!overlap(*other, route))
                 continue;
-            const auto& origin = origins.at(second->first);
-            result.diagnostics.push_back(diagnosticAt(origin.file, origin.source, fmt::format("route.{}.path", second->first), fmt::format("route \"{}\" already takes this path and method", first->first)));
+            const auto& origin = origins.at(name);
+            result.diagnostics.push_back(diagnosticAt(origin.file, origin.source, fmt::format("route.{}.path", name), fmt::format("route \"{}\" already takes this path and method", other->name)));
         }
+        others.push_back(&route);
     }
 }
 
@@ -230,14 +236,25 @@
     }
 }
 
+bool isFileName(const std::string& name)
+{
+    auto isAllowed = [](unsigned char letter) { return std::isalnum(letter) || letter == '.' || letter == '_' || letter == '-'; };
+    return !name.empty() && name.size() <= maximumFileNameBytes && name.front() != '.' && std::ranges::all_of(name, isAllowed);
+}
+
+std::string configPrefix(const std::string& deployment)
+{
+    return deployment + "/config/";
+}
+
 std::string filesPrefix(const std::string& deployment)
 {
-    return deployment + "/files/";
+    return configPrefix(deployment) + "files/";
 }
 
 std::string headKey(const std::string& deployment)
 {
-    return deployment + "/head";
+    return configPrefix(deployment) + "head";
 }
 
 } // namespace balsamreel::Config
--- a/lib/Config/Model.cpp
+++ b/lib/Config/Model.cpp
@@ -12,7 +12,9 @@
             continue;
         if (!route.methods.empty() && std::ranges::find(route.methods, method) == route.methods.end())
             continue;
-        if (!best || route.path.size() > best->path.size())
+        bool isLonger = !best || route.path.size() > best->path.size();
+        bool isMoreExact = best && route.path.size() == best->path.size() && best->methods.empty() && !route.methods.empty();
+        if (isLonger || isMoreExact)
             best = &route;
     }
     return best;
--- a/lib/Node/Admin.cpp
+++ b/lib/Node/Admin.cpp
@@ -152,7 +152,7 @@
     auto method = Support::queryValue(request.getURI(), "method", "GET");
     auto path = Support::queryValue(request.getURI(), "path", "/");
     auto active = context_.config.get();
-    const auto* route = active ? Config::findRoute(active->configuration, method, path) : nullptr;
+    const auto* route = active ? active->routes.find(method, path) : nullptr;
     if (!route)
         return sendText(response, HTTPResponse::HTTP_NOT_FOUND, "text/plain", fmt::format("no route takes {} {}\n", method, path));
     Poco::JSON::Object root;
--- a/lib/Node/ConfigFollower.cpp
+++ b/lib/Node/ConfigFollower.cpp
@@ -25,8 +25,10 @@
     : context_(context)
     , gossip_(gossip)
 {
-    if (context.settings.store)
-        store_.emplace(*context.settings.store);
+    if (!context.settings.store)
+        return;
+    store_.emplace(*context.settings.store);
+    acceptor_.emplace(*store_, context.settings.deployment);
 }
 
 ConfigFollower::~ConfigFollower()
@@ -99,7 +101,7 @@
 
 void ConfigFollower::watchOnce()
 {
-    auto result = Config::acceptFolder(*store_, context_.settings.deployment);
+    auto result = acceptor_->accept(context_.config.get() ? context_.config.get()->head.generation : 0);
     context_.metrics.set("balsam_store_calls", static_cast<double>(store_->calls()));
     if (result.error) {
         context_.metrics.add("balsam_config_store_errors_total");
@@ -114,7 +116,7 @@
         context_.timeline.record("config-accepted", fmt::format("generation={}", result.head.generation));
     apply(result.head, "store");
     auto newest = revision_;
-    auto error = store_->watch(context_.settings.deployment + "/", revision_, watchWait, newest);
+    auto error = store_->watch(Config::configPrefix(context_.settings.deployment), revision_, watchWait, newest);
     revision_ = newest;
     if (error)
         sleep(retryDelay);
--- a/lib/Node/Context.cpp
+++ b/lib/Node/Context.cpp
@@ -16,7 +16,7 @@
     auto merge = Config::mergeFiles({{"accepted", head.mergedText, 0}});
     if (!merge.diagnostics.empty())
         return false;
-    auto next = std::make_shared<const ActiveConfig>(ActiveConfig{head, std::move(merge.configuration)});
+    auto next = std::make_shared<const ActiveConfig>(head, std::move(merge.configuration));
     std::lock_guard lock(mutex_);
     if (active_ && active_->head.generation >= head.generation)
         return false;
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -68,7 +68,7 @@
     if (!call.config)
         return refuse(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no-configuration");
     const auto& configuration = call.config->configuration;
-    call.route = Config::findRoute(configuration, call.request.getMethod(), Support::pathOf(call.request.getURI()));
+    call.route = call.config->routes.find(call.request.getMethod(), Support::pathOf(call.request.getURI()));
     if (!call.route)
         return refuse(HTTPResponse::HTTP_NOT_FOUND, "no-route");
     call.service = &configuration.services.at(call.route->service);
