--- a/include/balsamreel/Config/Acceptor.h
+++ b/include/balsamreel/Config/Acceptor.h
@@ -39,6 +39,7 @@
     };
 
     std::error_code readSnapshot(Snapshot&);
+    std::error_code readSnapshotOnce(Snapshot&);
     std::error_code readHead(std::uint64_t version);
     std::error_code readFiles(const Snapshot&);
     AcceptResult resultOf(const Snapshot&) const;
--- a/lib/Config/Acceptor.cpp
+++ b/lib/Config/Acceptor.cpp
@@ -45,6 +45,17 @@
 }
 
 std::error_code Acceptor::readSnapshot(Snapshot& snapshot)
+{
+    std::error_code error;
+    for (unsigned reads = 0; reads < maximumReads; ++reads) {
+        error = readSnapshotOnce(snapshot);
+        if (error != StoreError::VersionConflict)
+            return error;
+    }
+    return error;
+}
+
+std::error_code Acceptor::readSnapshotOnce(Snapshot& snapshot)
 {
     // One listing gives the folder and the head's version at one moment. So if the head is still the same at the
     // update, nobody has accepted a newer folder in between, however long this node was paused.
@@ -59,7 +70,13 @@
         else if (entry.key.starts_with(prefix))
             snapshot.files.entries.push_back({entry.key.substr(prefix.size()), entry.version});
     }
-    return snapshot.headVersion == headVersion_ ? std::error_code() : readHead(snapshot.headVersion);
+    if (snapshot.headVersion == headVersion_)
+        return {};
+    if (auto error = readHead(snapshot.headVersion))
+        return error;
+    // A head that moved after the listing may have been made from a newer folder than the one listed; an update
+    // on top of it would undo that change.
+    return headVersion_ == snapshot.headVersion ? std::error_code() : StoreError::VersionConflict;
 }
 
 std::error_code Acceptor::readHead(std::uint64_t version)
--- a/unittests/Config/AcceptorTest.cpp
+++ b/unittests/Config/AcceptorTest.cpp
@@ -95,6 +95,45 @@
     EXPECT_NE(result.head.mergedText.find("2000"), std::string::npos);
 }
 
+TEST(Acceptor, AHeadThatMovesRightAfterTheListingIsNotBuiltUpon)
+{
+    MemoryStore store;
+    edit(store, "b.toml", serviceText(1000));
+    Acceptor first(store, deployment);
+    Acceptor other(store, deployment);
+    ASSERT_TRUE(other.accept().isNew);
+    edit(store, "b.toml", serviceText(2000));
+    int calls = 0;
+    store.beforeCall = [&] {
+        // Between the paused one's listing and its read of the head.
+        if (++calls != 2)
+            return;
+        store.beforeCall = nullptr;
+        edit(store, "a.toml", serviceText(3000));
+        ASSERT_TRUE(other.accept().isNew);
+    };
+    auto result = first.accept();
+    EXPECT_FALSE(result.isNew);
+    EXPECT_EQ(result.head.generation, 2U);
+    EXPECT_EQ(headIn(store)->fileVersions.size(), 2U);
+}
+
+TEST(Acceptor, TheTwoYearSizeFitsTheHead)
+{
+    constexpr int serviceCount = 140;
+    constexpr int routesPerService = 10;
+    std::string text;
+    for (int service = 0; service < serviceCount; ++service) {
+        text += "[service.service-" + std::to_string(service) + "]\ndeadline_ms = 5000\nqueue_ms = 300\n";
+        for (int route = 0; route < routesPerService; ++route)
+            text += "[route.route-" + std::to_string(service * routesPerService + route) + "]\nservice = \"service-" + std::to_string(service) + "\"\npath = \"/service-" + std::to_string(service) + "/route-" + std::to_string(route) + "/\"\nmethods = [\"GET\"]\npriority = 3\n";
+    }
+    auto result = checkFolder({{"all.toml", text, 1}});
+    ASSERT_TRUE(result.diagnostics.empty());
+    constexpr std::size_t quarterOfTheLimit = Store::maximumValueBytes / 4;
+    EXPECT_LT(encodeHead({1, {{"all.toml", 1}}, result.mergedText}).size(), quarterOfTheLimit);
+}
+
 TEST(Acceptor, AFolderEditedWhileItIsReadIsReadAgain)
 {
     MemoryStore store;
