--- a/unittests/Node/Deployment.h
+++ b/unittests/Node/Deployment.h
@@ -93,7 +93,7 @@
     {
         Store::Client client(storeEndpoint);
         std::uint64_t version = 0;
-        client.put("test/files/" + name, text, Store::Always(), version);
+        client.put(Config::filesPrefix("test") + name, text, Store::Always(), version);
     }
 
     void addNode(unsigned index)
