Spread a generation by telling peers; start from several domains

Cause: every watcher read the whole folder at once on each change, all nodes fetched from the same peer, and the rest waited for a ping. Two nodes a failure domain watch, ranked over all domains; they take turns to accept and skip their turn when the new generation comes from a peer. A node that puts a generation into force tells three random peers, which fetch it; a fetch goes to a random peer among all that have it. A node that starts gathers heads from three domains, or from fewer after 1.5 s. The first node of a domain keeps the domain's status in the store, on change and at most every 10 s, by conditional updates. Ruled out: a watch on the head too (wakes all watchers twice a change), leases for the watchers' role (calls to save calls).

--- a/include/balsamreel/Config/Acceptor.h
+++ b/include/balsamreel/Config/Acceptor.h
@@ -11,6 +11,8 @@
 struct AcceptResult {
     std::error_code error; ///< of the store; what follows holds only if there is none
     Head head; ///< the head as it stands afterwards; generation 0 if there is none
+    std::uint64_t revision = 0; ///< of the store at the listing; a watch goes on from here
+    std::map<std::string, std::uint64_t> folderVersions; ///< of the files as listed
     bool isNew = false; ///< this call moved the head
     bool isPending = false; ///< the folder differs from the head, and has not been refused as it stands
     std::vector<Diagnostic> diagnostics; ///< why the folder was not accepted
@@ -34,7 +36,8 @@
 
 private:
     struct Snapshot {
-        Store::Listing files; ///< names without the prefix
+        std::map<std::string, std::uint64_t> files; ///< versions by name
+        std::uint64_t revision = 0;
         std::uint64_t headVersion = 0; ///< 0: there is none
     };
 
--- a/include/balsamreel/Node/ConfigFollower.h
+++ b/include/balsamreel/Node/ConfigFollower.h
@@ -2,14 +2,16 @@
 #pragma once
 
 #include "balsamreel/Config/Acceptor.h"
+#include "balsamreel/Config/Watchers.h"
 #include "balsamreel/Node/Context.h"
+#include "balsamreel/Node/DomainStatus.h"
 #include "balsamreel/Node/Gossip.h"
 #include "balsamreel/Store/Client.h"
-#include <optional>
+#include "balsamreel/Support/Random.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,26 +27,54 @@
 
     void start();
 
-    /// Why the folder as it stands is not accepted; empty if it is.
+    /// A peer says that the named node follows this generation.
+    void hear(std::uint64_t generation, const std::string& node);
+
+    /// Why the folder as it stands is not accepted; empty if it is. Known only to nodes that watch the store.
     std::vector<Config::Diagnostic> diagnostics() const;
 
 private:
+    struct News {
+        std::uint64_t generation = 0;
+        std::string node;
+    };
+
     void runPeers();
+    void startFromPeers();
+    void followPeers();
+    void fetchFrom(const Wire::MemberRecord&);
+    void tellPeers(std::uint64_t generation);
+    std::optional<News> awaitNews();
+
     void runStore();
-    void watchOnce();
-    void fetchFrom(const Support::Endpoint& peer);
+    void followStore(const std::optional<Config::WatcherRole>&);
+    void watch();
+    bool letOthersAccept(const Config::AcceptResult& pending, std::size_t rank);
+    void take(const Config::AcceptResult&);
+    void writeStatus();
+    std::optional<Config::WatcherRole> role() const;
+
+    std::uint64_t generation() const;
     void apply(const Config::Head&, const std::string& source);
+    bool isEnding() const;
     bool sleep(Support::Duration);
 
     Context& context_;
     Gossip& gossip_;
     std::optional<Store::Client> store_;
     std::optional<Config::Acceptor> acceptor_;
-    std::uint64_t revision_ = 0; ///< of the store, seen by the last watch
+    std::optional<DomainStatus> status_;
+    std::uint64_t revision_ = 0; ///< of the store; the next watch waits for newer ones
+    unsigned quietWatches_ = 0; ///< since the folder was last read
+    Store::Backoff backoff_;
+    Support::Random peerRandom_; ///< of the peer thread
+    std::uint64_t toldGeneration_ = 0; ///< that peers have been told of
+
     mutable std::mutex mutex_;
-    std::condition_variable ending_;
-    std::vector<Config::Diagnostic> diagnostics_;
-    bool isEnding_ = false;
+    std::condition_variable wakeUp_;
+    std::vector<Config::Diagnostic> diagnostics_; ///< guarded by mutex_
+    std::optional<News> news_; ///< guarded by mutex_
+    bool isEnding_ = false; ///< guarded by mutex_
     std::thread peerThread_;
     std::thread storeThread_;
 };
--- /dev/null
+++ b/include/balsamreel/Node/DomainStatus.h
@@ -0,0 +1,33 @@
+// The status of a failure domain that outlives its nodes, kept in the store.
+#pragma once
+
+#include "balsamreel/Store/ObjectStore.h"
+#include "balsamreel/Support/Clock.h"
+
+#include <optional>
+#include <string>
+
+namespace balsamreel::Node {
+
+/// Writes the status when it has changed, and not more often than every few seconds. Not thread-safe.
+class DomainStatus {
+public:
+    DomainStatus(Store::ObjectStore& store, std::string key)
+        : store_(store)
+        , key_(std::move(key))
+    {
+    }
+
+    void update(Support::Instant now, const std::string& text);
+
+    static constexpr Support::Duration shortestInterval = std::chrono::seconds(10);
+
+private:
+    Store::ObjectStore& store_;
+    std::string key_;
+    std::string written_;
+    Store::Precondition precondition_ = Store::IfAbsent();
+    std::optional<Support::Instant> triedAt_;
+};
+
+} // namespace balsamreel::Node
--- a/include/balsamreel/Node/Gossip.h
+++ b/include/balsamreel/Node/Gossip.h
@@ -28,10 +28,9 @@
     void leave();
 
     std::vector<Wire::MemberRecord> members() const; ///< with this node itself
-    std::optional<Wire::MemberRecord> newerPeer() const;
 
-    /// This node is among the few of its failure domain that watch the store.
-    bool isWatcher() const;
+    /// A random one of the live members that follow the highest generation known, if that is newer than this node's.
+    std::optional<Wire::MemberRecord> newerPeer(Support::Random&) const;
 
 private:
     void run();
--- a/lib/Config/Acceptor.cpp
+++ b/lib/Config/Acceptor.cpp
@@ -12,14 +12,6 @@
 // A folder that is edited while it is read is read again, but not for ever.
 constexpr unsigned maximumReads = 4;
 
-std::map<std::string, std::uint64_t> versionsOf(const Store::Listing& files)
-{
-    std::map<std::string, std::uint64_t> versions;
-    for (const auto& entry : files.entries)
-        versions[entry.key] = entry.version;
-    return versions;
-}
-
 bool isSameHead(const Head& first, const Head& second)
 {
     return first.generation == second.generation && first.fileVersions == second.fileVersions && first.mergedText == second.mergedText;
@@ -64,11 +56,12 @@
         return error;
     auto prefix = filesPrefix(deployment_);
     snapshot = {};
+    snapshot.revision = listing.revision;
     for (auto& entry : listing.entries) {
         if (entry.key == headKey(deployment_))
             snapshot.headVersion = entry.version;
         else if (entry.key.starts_with(prefix))
-            snapshot.files.entries.push_back({entry.key.substr(prefix.size()), entry.version});
+            snapshot.files[entry.key.substr(prefix.size())] = entry.version;
     }
     if (snapshot.headVersion == headVersion_)
         return {};
@@ -95,19 +88,19 @@
 std::error_code Acceptor::readFiles(const Snapshot& snapshot)
 {
     std::map<std::string, File> files;
-    for (const auto& entry : snapshot.files.entries) {
-        auto known = files_.find(entry.key);
-        if (known != files_.end() && known->second.version == entry.version) {
+    for (const auto& [name, version] : snapshot.files) {
+        auto known = files_.find(name);
+        if (known != files_.end() && known->second.version == version) {
             files.insert(*known);
             continue;
         }
         Store::Object object;
-        if (auto error = store_.get(filesPrefix(deployment_) + entry.key, object))
+        if (auto error = store_.get(filesPrefix(deployment_) + name, object))
             return error;
         // Edited since the listing: a mix of both moments is a folder that never was.
-        if (object.version != entry.version)
+        if (object.version != version)
             return StoreError::VersionConflict;
-        files[entry.key] = {entry.key, std::move(object.value), object.version};
+        files[name] = {name, std::move(object.value), object.version};
     }
     files_ = std::move(files);
     return {};
@@ -117,7 +110,9 @@
 {
     AcceptResult result;
     result.head = head_;
-    auto versions = versionsOf(snapshot.files);
+    result.revision = snapshot.revision;
+    result.folderVersions = snapshot.files;
+    const auto& versions = snapshot.files;
     if (versions == head_.fileVersions && head_.generation > 0)
         return result;
     // An empty folder more likely means a wrong prefix or a store that has lost its data than a wish to serve
@@ -151,11 +146,11 @@
     auto merge = checkFolder(files);
     if (!merge.diagnostics.empty()) {
         diagnostics_ = std::move(merge.diagnostics);
-        refusedVersions_ = versionsOf(snapshot.files);
+        refusedVersions_ = snapshot.files;
         result = resultOf(snapshot);
         return {};
     }
-    Head next{std::max(head_.generation, knownGeneration) + 1, versionsOf(snapshot.files), std::move(merge.mergedText)};
+    Head next{std::max(head_.generation, knownGeneration) + 1, snapshot.files, std::move(merge.mergedText)};
     Store::Precondition precondition = Store::IfAbsent();
     if (headVersion_ > 0)
         precondition = Store::IfVersion{headVersion_};
--- a/lib/Node/ConfigFollower.cpp
+++ b/lib/Node/ConfigFollower.cpp
@@ -1,34 +1,66 @@
 #include "balsamreel/Node/ConfigFollower.h"
 
-#include "balsamreel/Support/Http.h"
+#include "balsamreel/Config/StartupChoice.h"
+#include "balsamreel/Node/HeadExchange.h"
 #include "balsamreel/Support/Log.h"
 
-#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <map>
+#include <sstream>
+
 namespace balsamreel::Node {
 
 using Support::Duration;
+using Support::monotonicNow;
 
 namespace {
 
 constexpr Duration pollInterval = std::chrono::milliseconds(200);
-constexpr Duration watchWait = std::chrono::seconds(5);
-constexpr Duration retryDelay = std::chrono::milliseconds(500);
+constexpr Duration watchWait = std::chrono::seconds(3);
+// A watch may miss an event, so the folder is read now and then without one.
+constexpr unsigned quietWatchesToRead = 2;
+constexpr Duration roleInterval = std::chrono::milliseconds(500);
 // Peers are asked first; a node reads the store by itself only if none has answered by then.
 constexpr Duration peerPatience = std::chrono::milliseconds(1500);
-constexpr std::size_t maximumHeadBytes = Store::maximumValueBytes;
+// Watchers try to accept a change one after another, so that usually only the first one reads the files.
+constexpr Duration turnOfRank = std::chrono::milliseconds(400);
+constexpr std::size_t lastDelayedRank = 6;
+// With this fan-out a new generation reaches nearly all of 1,400 nodes in six hops; pings tell the rest.
+constexpr std::size_t toldPeers = 3;
+constexpr std::size_t maximumStatusDiagnostics = 20;
+
+bool isServing(const Wire::MemberRecord& record)
+{
+    return record.state == Wire::MemberState::Alive || record.state == Wire::MemberState::Suspect;
+}
+
+// All live members but the node itself, in random order.
+std::vector<Wire::MemberRecord> livePeers(const Gossip& gossip, const std::string& self, Support::Random& random)
+{
+    auto peers = gossip.members();
+    std::erase_if(peers, [&](const auto& record) { return record.node == self || !isServing(record); });
+    std::ranges::shuffle(peers, random.engine());
+    return peers;
+}
 
 } // namespace
 
 ConfigFollower::ConfigFollower(Context& context, Gossip& gossip)
     : context_(context)
     , gossip_(gossip)
+    , backoff_({std::chrono::milliseconds(200), std::chrono::seconds(2)}, Support::randomSeed())
+    , peerRandom_(Support::randomSeed())
 {
-    if (!context.settings.store)
+    const auto& settings = context.settings;
+    if (!settings.store)
         return;
-    store_.emplace(*context.settings.store);
-    acceptor_.emplace(*store_, context.settings.deployment);
+    store_.emplace(*settings.store);
+    acceptor_.emplace(*store_, settings.deployment);
+    status_.emplace(*store_, fmt::format("{}/status/{}", settings.deployment, settings.domain));
 }
 
 ConfigFollower::~ConfigFollower()
@@ -37,7 +69,7 @@
         std::lock_guard lock(mutex_);
         isEnding_ = true;
     }
-    ending_.notify_all();
+    wakeUp_.notify_all();
     if (peerThread_.joinable())
         peerThread_.join();
     if (storeThread_.joinable())
@@ -57,10 +89,22 @@
     return diagnostics_;
 }
 
+bool ConfigFollower::isEnding() const
+{
+    std::lock_guard lock(mutex_);
+    return isEnding_;
+}
+
 bool ConfigFollower::sleep(Duration duration)
 {
     std::unique_lock lock(mutex_);
-    return !ending_.wait_for(lock, duration, [&] { return isEnding_; });
+    return !wakeUp_.wait_for(lock, duration, [&] { return isEnding_; });
+}
+
+std::uint64_t ConfigFollower::generation() const
+{
+    auto active = context_.config.get();
+    return active ? active->head.generation : 0;
 }
 
 void ConfigFollower::apply(const Config::Head& head, const std::string& source)
@@ -70,44 +114,101 @@
     context_.timeline.record("config", fmt::format("generation={} source={}", head.generation, source));
     context_.metrics.set("balsam_config_generation", static_cast<double>(head.generation));
     Support::log(Support::LogLevel::Info, "config-in-force", "generation={} source={}", head.generation, source);
+    hear(head.generation, context_.settings.node);
 }
 
-void ConfigFollower::fetchFrom(const Support::Endpoint& peer)
-{
-    try {
-        Session session(peer.host, peer.port);
-        session.setTimeout(Poco::Timespan(1, 0));
-        Poco::Net::HTTPRequest request("GET", "/balsam/head", "HTTP/1.1");
-        session.sendRequest(request);
-        Poco::Net::HTTPResponse response;
-        std::string text;
-        auto& stream = session.receiveResponse(response);
-        bool isWhole = Support::readBody(stream, maximumHeadBytes, text) && response.getContentLength64() == static_cast<Poco::Int64>(text.size());
-        auto head = isWhole && response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK ? Config::decodeHead(text) : std::nullopt;
-        if (head)
-            apply(*head, "peer");
-    } catch (const Poco::Exception&) {
-        context_.metrics.add("balsam_config_peer_errors_total");
+void ConfigFollower::hear(std::uint64_t generation, const std::string& node)
+{
+    {
+        std::lock_guard lock(mutex_);
+        if (!news_ || news_->generation < generation)
+            news_ = News{generation, node};
     }
+    wakeUp_.notify_all();
 }
 
-void ConfigFollower::runPeers()
+std::optional<ConfigFollower::News> ConfigFollower::awaitNews()
 {
-    while (sleep(pollInterval)) {
-        if (auto peer = gossip_.newerPeer())
-            fetchFrom(peer->peer);
+    std::unique_lock lock(mutex_);
+    wakeUp_.wait_for(lock, pollInterval, [&] { return isEnding_ || news_; });
+    return std::exchange(news_, std::nullopt);
+}
+
+void ConfigFollower::fetchFrom(const Wire::MemberRecord& peer)
+{
+    auto head = fetchHead(peer.peer);
+    if (head)
+        apply(*head, "peer");
+    else
+        context_.metrics.add("balsam_config_peer_errors_total");
+}
+
+void ConfigFollower::startFromPeers()
+{
+    Config::StartupChoice choice({}, monotonicNow());
+    while (sleep(pollInterval) && generation() == 0) {
+        for (const auto& peer : livePeers(gossip_, context_.settings.node, peerRandom_)) {
+            if (choice.hasAnswer(peer.domain) || isEnding())
+                continue;
+            // A peer without a configuration gives no evidence; another of its domain may have one.
+            if (auto head = fetchHead(peer.peer); head && head->generation > 0)
+                choice.offer(peer.domain, std::move(*head));
+            if (choice.isSettled(monotonicNow()))
+                return apply(choice.newest(), "peer");
+        }
     }
 }
 
-void ConfigFollower::watchOnce()
+void ConfigFollower::tellPeers(std::uint64_t generation)
 {
-    auto result = acceptor_->accept(context_.config.get() ? context_.config.get()->head.generation : 0);
-    context_.metrics.set("balsam_store_calls", static_cast<double>(store_->calls()));
-    if (result.error) {
-        context_.metrics.add("balsam_config_store_errors_total");
-        sleep(retryDelay);
+    if (generation <= toldGeneration_)
         return;
+    toldGeneration_ = generation;
+    std::size_t told = 0;
+    for (const auto& peer : livePeers(gossip_, context_.settings.node, peerRandom_)) {
+        if (told == toldPeers || isEnding())
+            return;
+        ++told;
+        context_.metrics.add("balsam_config_told_total");
+        if (!tellNewer(peer.peer, generation, context_.settings.node))
+            context_.metrics.add("balsam_config_peer_errors_total");
+    }
+}
+
+void ConfigFollower::followPeers()
+{
+    auto news = awaitNews();
+    if (news && news->generation > generation()) {
+        for (const auto& record : gossip_.members()) {
+            if (record.node == news->node)
+                fetchFrom(record);
+        }
     }
+    // A peer that told of a generation it does not give is no reason to wait: any other that follows it will do.
+    if (auto peer = gossip_.newerPeer(peerRandom_))
+        fetchFrom(*peer);
+    tellPeers(generation());
+}
+
+void ConfigFollower::runPeers()
+{
+    startFromPeers();
+    while (!isEnding())
+        followPeers();
+}
+
+std::optional<Config::WatcherRole> ConfigFollower::role() const
+{
+    std::vector<Config::WatcherCandidate> candidates;
+    for (const auto& record : gossip_.members()) {
+        if (isServing(record) || record.node == context_.settings.node)
+            candidates.push_back({record.node, record.domain});
+    }
+    return Config::watcherRole(candidates, context_.settings.node);
+}
+
+void ConfigFollower::take(const Config::AcceptResult& result)
+{
     {
         std::lock_guard lock(mutex_);
         diagnostics_ = result.diagnostics;
@@ -115,21 +216,103 @@
     if (result.isNew)
         context_.timeline.record("config-accepted", fmt::format("generation={}", result.head.generation));
     apply(result.head, "store");
+}
+
+bool ConfigFollower::letOthersAccept(const Config::AcceptResult& pending, std::size_t rank)
+{
+    auto until = monotonicNow() + turnOfRank * std::min(rank, lastDelayedRank);
+    while (monotonicNow() < until && sleep(pollInterval / 4)) {
+        auto active = context_.config.get();
+        if (active && active->head.fileVersions == pending.folderVersions)
+            return true;
+    }
+    return false;
+}
+
+void ConfigFollower::followStore(const std::optional<Config::WatcherRole>& role)
+{
+    auto result = acceptor_->look();
+    if (!result.error && result.isPending && role && !letOthersAccept(result, role->rank))
+        result = acceptor_->accept(generation());
+    context_.metrics.set("balsam_store_calls", static_cast<double>(store_->calls()));
+    if (result.error) {
+        context_.metrics.add("balsam_config_store_errors_total");
+        sleep(backoff_.next());
+        return;
+    }
+    backoff_.reset();
+    quietWatches_ = 0;
+    revision_ = result.revision;
+    take(result);
+    if (!role)
+        sleep(roleInterval);
+}
+
+void ConfigFollower::watch()
+{
     auto newest = revision_;
-    auto error = store_->watch(Config::configPrefix(context_.settings.deployment), revision_, watchWait, newest);
-    revision_ = newest;
-    if (error)
-        sleep(retryDelay);
+    auto error = store_->watch(Config::filesPrefix(context_.settings.deployment), revision_, watchWait, newest);
+    context_.metrics.set("balsam_store_calls", static_cast<double>(store_->calls()));
+    if (error) {
+        // What happened meanwhile is unknown, so the folder is read as soon as the store answers.
+        quietWatches_ = quietWatchesToRead;
+        sleep(backoff_.next());
+        return;
+    }
+    quietWatches_ = newest > revision_ ? quietWatchesToRead : quietWatches_ + 1;
+}
+
+void ConfigFollower::writeStatus()
+{
+    std::map<std::string, std::uint64_t> states;
+    Poco::JSON::Array::Ptr draining = new Poco::JSON::Array;
+    for (const auto& record : gossip_.members()) {
+        if (record.domain != context_.settings.domain)
+            continue;
+        ++states[std::string(Support::nameOf(Wire::memberStateNames, record.state))];
+        for (const auto& server : record.servers) {
+            if (server.state == Wire::ServerState::Draining)
+                draining->add(server.address.text());
+        }
+    }
+    Poco::JSON::Object root;
+    root.set("domain", context_.settings.domain);
+    root.set("generation", generation());
+    Poco::JSON::Object::Ptr members = new Poco::JSON::Object;
+    for (const auto& [state, count] : states)
+        members->set(state, count);
+    root.set("members", members);
+    root.set("draining", draining);
+    Poco::JSON::Array::Ptr diagnostics = new Poco::JSON::Array;
+    for (const auto& diagnostic : this->diagnostics()) {
+        if (diagnostics->size() < maximumStatusDiagnostics)
+            diagnostics->add(diagnostic.text());
+    }
+    root.set("diagnostics", diagnostics);
+    std::ostringstream text;
+    root.stringify(text);
+    status_->update(monotonicNow(), text.str());
 }
 
 void ConfigFollower::runStore()
 {
     sleep(peerPatience);
-    while (sleep(Duration::zero())) {
-        if (gossip_.isWatcher() || !context_.config.get())
-            watchOnce();
-        else
-            sleep(retryDelay);
+    quietWatches_ = quietWatchesToRead;
+    while (!isEnding()) {
+        auto current = role();
+        if (!current && generation() > 0) {
+            // Once it is a watcher again, what it has read is old.
+            quietWatches_ = quietWatchesToRead;
+            sleep(roleInterval);
+            continue;
+        }
+        if (!current || quietWatches_ >= quietWatchesToRead) {
+            followStore(current);
+            continue;
+        }
+        if (current->isFirstOfDomain)
+            writeStatus();
+        watch();
     }
 }
 
--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -1,8 +1,11 @@
 #include "balsamreel/Node/Daemon.h"
 
+#include "balsamreel/Node/HeadExchange.h"
 #include "balsamreel/Support/Log.h"
 #include "balsamreel/Support/Random.h"
 
+#include <charconv>
+
 namespace balsamreel::Node {
 
 using Poco::Net::HTTPResponse;
@@ -71,7 +74,16 @@
 
 void Daemon::handlePeer(HTTPServerRequest& request, HTTPServerResponse& response)
 {
-    if (request.getURI() != "/balsam/head" || request.has("X-Balsam-Attempt"))
+    bool isAttempt = request.has("X-Balsam-Attempt");
+    auto path = Support::pathOf(request.getURI());
+    if (!isAttempt && path == newerPath) {
+        auto generation = Support::queryValue(request.getURI(), "generation", "0");
+        std::uint64_t number = 0;
+        std::from_chars(generation.data(), generation.data() + generation.size(), number);
+        follower_.hear(number, Support::queryValue(request.getURI(), "node"));
+        return sendText(response, HTTPResponse::HTTP_OK, "text/plain", "ok\n");
+    }
+    if (isAttempt || path != headPath)
         return guard_.handle(request, response);
     auto active = context_.config.get();
     if (!active)
--- a/lib/Node/Gossip.cpp
+++ b/lib/Node/Gossip.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(50);
-constexpr std::size_t watchersPerDomain = 2;
 constexpr unsigned maximumDatagramsPerTick = 256;
 
 Wire::MemberRecord selfRecord(const Context& context)
@@ -77,21 +76,24 @@
     return records;
 }
 
-std::optional<Wire::MemberRecord> Gossip::newerPeer() const
+std::optional<Wire::MemberRecord> Gossip::newerPeer(Support::Random& random) const
 {
+    auto active = context_.config.get();
+    std::uint64_t highest = active ? active->head.generation : 0;
+    std::vector<const Membership::Member*> newest;
     std::lock_guard lock(mutex_);
-    return swim_.newerPeer();
-}
-
-bool Gossip::isWatcher() const
-{
-    std::lock_guard lock(mutex_);
-    std::size_t before = 0;
     for (const auto& [node, member] : swim_.members()) {
-        if (isServing(member.record) && member.record.domain == context_.settings.domain && node < context_.settings.node)
-            ++before;
+        if (!isServing(member.record) || member.generation < highest)
+            continue;
+        if (member.generation > highest)
+            newest.clear();
+        else if (newest.empty())
+            continue;
+        highest = member.generation;
+        newest.push_back(&member);
     }
-    return before < watchersPerDomain;
+    // All that follow it share the fetches, in whichever domain they are.
+    return newest.empty() ? std::nullopt : std::optional(newest[random.below(newest.size())]->record);
 }
 
 void Gossip::run()
--- a/unittests/Config/AcceptorTest.cpp
+++ b/unittests/Config/AcceptorTest.cpp
@@ -260,7 +260,7 @@
     if (files.empty() || !checkFolder(files).diagnostics.empty())
         return;
     auto head = headIn(store);
-    RC_ASSERT(head && head->mergedText == checkFolder(files).mergedText);
+    RC_ASSERT((head && head->mergedText == checkFolder(files).mergedText));
 }
 
 } // namespace
