--- a/lib/Operator/Commands.cpp
+++ b/lib/Operator/Commands.cpp
@@ -1,7 +1,4 @@
-#include "balsamreel/Operator/Commands.h"
-
-#include "balsamreel/Config/Acceptor.h"
-#include "balsamreel/Store/Client.h"
+#include "Common.h"
 #include "balsamreel/Support/Http.h"
 
 #include <Poco/Exception.h>
@@ -15,161 +12,32 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <iostream>
-#include <map>
-#include <sstream>
 #include <tuple>
 
 namespace balsamreel::Operator {
 
-using Store::StoreError;
-
 namespace {
 
 constexpr std::size_t maximumNodeAnswerBytes = 16 * 1024 * 1024;
+// A check of a whole folder reads every file; an operator waits for it, so the budget is wide.
+constexpr double operatorBurst = 10'000;
+
+} // namespace
 
-ExitStatus fail(const std::string& message, ExitStatus status = ExitStatus::Failed)
+ExitStatus fail(const std::string& message, ExitStatus status)
 {
     fmt::print(stderr, "balsamctl: {}\n", message);
     return status;
 }
 
-std::optional<std::string> readLocalFile(const std::filesystem::path& path)
-{
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream)
-        return std::nullopt;
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return std::move(text).str();
-}
-
 ExitStatus withStore(const CommandContext& context, ExitStatus (*action)(const CommandContext&, Store::Client&))
 {
     if (!context.store)
         return fail("--store (or BALSAMCTL_STORE) must be set", ExitStatus::Usage);
-    Store::Client store(*context.store);
+    Store::Client store(*context.store, Store::ClientOptions{.burst = operatorBurst});
     return action(context, store);
 }
 
-ExitStatus storeFailure(std::error_code error, const std::string& name)
-{
-    if (error == StoreError::VersionConflict)
-        return fail(fmt::format("{}: someone else changed it first; get it again and repeat the edit", name), ExitStatus::Conflict);
-    return fail(fmt::format("{}: {}", name, error.message()));
-}
-
-ExitStatus report(const std::vector<Config::Diagnostic>& diagnostics)
-{
-    for (const auto& diagnostic : diagnostics)
-        fmt::print(stderr, "{}\n", diagnostic.text());
-    return diagnostics.empty() ? ExitStatus::Done : ExitStatus::Invalid;
-}
-
-std::optional<std::vector<Config::File>> readLocalFolder(const std::string& folder)
-{
-    std::vector<Config::File> files;
-    std::error_code error;
-    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-        if (!entry.is_regular_file())
-            continue;
-        auto text = readLocalFile(entry.path());
-        if (!text)
-            return std::nullopt;
-        files.push_back({entry.path().filename().string(), std::move(*text), 0});
-    }
-    return error ? std::nullopt : std::optional(files);
-}
-
-ExitStatus runList(const CommandContext& context)
-{
-    return withStore(context, [](const CommandContext& context, Store::Client& store) {
-        auto prefix = Config::filesPrefix(context.deployment);
-        Store::Listing listing;
-        if (auto error = store.list(prefix, listing))
-            return storeFailure(error, "ls");
-        for (const auto& entry : listing.entries)
-            fmt::print("{:>8} {}\n", entry.version, entry.key.substr(prefix.size()));
-        return ExitStatus::Done;
-    });
-}
-
-ExitStatus runGet(const CommandContext& context)
-{
-    if (context.arguments.size() != 1)
-        return fail("usage: balsamctl get NAME", ExitStatus::Usage);
-    return withStore(context, [](const CommandContext& context, Store::Client& store) {
-        const auto& name = context.arguments[0];
-        Store::Object object;
-        if (auto error = store.get(Config::filesPrefix(context.deployment) + name, object))
-            return storeFailure(error, name);
-        fmt::print("{}", object.value);
-        return ExitStatus::Done;
-    });
-}
-
-ExitStatus putFile(const CommandContext& context, Store::Client& store)
-{
-    std::filesystem::path path(context.arguments[0]);
-    auto name = context.arguments.size() > 1 ? context.arguments[1] : path.filename().string();
-    auto text = readLocalFile(path);
-    if (!text)
-        return fail(fmt::format("{}: cannot be read", path.string()));
-    // The whole folder is checked as it would become, so that a bad file never gets in.
-    std::vector<Config::File> files;
-    if (auto error = Config::readFolder(store, context.deployment, files))
-        return storeFailure(error, name);
-    auto existing = std::ranges::find(files, name, &Config::File::name);
-    Store::Precondition precondition = Store::IfAbsent();
-    if (existing != files.end()) {
-        precondition = Store::IfVersion{existing->version};
-        existing->text = *text;
-    } else {
-        files.push_back({name, *text, 0});
-    }
-    if (auto status = report(Config::mergeFiles(files).diagnostics); status != ExitStatus::Done)
-        return status;
-    std::uint64_t version = 0;
-    if (auto error = store.put(Config::filesPrefix(context.deployment) + name, *text, precondition, version))
-        return storeFailure(error, name);
-    fmt::print("{} version {}\n", name, version);
-    return ExitStatus::Done;
-}
-
-ExitStatus runPut(const CommandContext& context)
-{
-    if (context.arguments.empty() || context.arguments.size() > 2)
-        return fail("usage: balsamctl put FILE [NAME]", ExitStatus::Usage);
-    return withStore(context, putFile);
-}
-
-ExitStatus runRemove(const CommandContext& context)
-{
-    if (context.arguments.size() != 1)
-        return fail("usage: balsamctl rm NAME", ExitStatus::Usage);
-    return withStore(context, [](const CommandContext& context, Store::Client& store) {
-        const auto& name = context.arguments[0];
-        if (auto error = store.remove(Config::filesPrefix(context.deployment) + name, Store::Always()))
-            return storeFailure(error, name);
-        return ExitStatus::Done;
-    });
-}
-
-ExitStatus runCheck(const CommandContext& context)
-{
-    if (context.arguments.size() != 1)
-        return fail("usage: balsamctl check FOLDER", ExitStatus::Usage);
-    auto files = readLocalFolder(context.arguments[0]);
-    if (!files)
-        return fail(fmt::format("{}: cannot be read", context.arguments[0]));
-    auto result = Config::mergeFiles(*files);
-    if (result.diagnostics.empty())
-        fmt::print("{} files, {} services, {} routes: good\n", files->size(), result.configuration.services.size(), result.configuration.routes.size());
-    return report(result.diagnostics);
-}
-
 std::optional<std::string> askNode(const Support::Endpoint& node, const std::string& uri)
 {
     try {
@@ -188,6 +56,8 @@
     }
 }
 
+namespace {
+
 ExitStatus askAll(const CommandContext& context, const std::string& uri)
 {
     if (context.nodes.empty())
@@ -205,11 +75,6 @@
     return answers > 0 ? ExitStatus::Done : ExitStatus::Failed;
 }
 
-ExitStatus runStatus(const CommandContext& context)
-{
-    return askAll(context, "/v1/status");
-}
-
 ExitStatus runMetrics(const CommandContext& context)
 {
     return askAll(context, "/v1/metrics");
@@ -217,8 +82,6 @@
 
 ExitStatus runExplain(const CommandContext& context)
 {
-    if (context.arguments.size() != 2)
-        return fail("usage: balsamctl explain METHOD PATH", ExitStatus::Usage);
     std::string path;
     Poco::URI::encode(context.arguments[1], "?#&=+%", path);
     return askAll(context, fmt::format("/v1/explain?method={}&path={}", context.arguments[0], path));
@@ -267,24 +130,47 @@
 const std::vector<Command>& commands()
 {
     static const std::vector<Command> table{
-        {"ls", "", "lists the files of the folder with their versions", runList},
-        {"get", "NAME", "prints a file", runGet},
-        {"put", "FILE [NAME]", "adds or replaces a file, after a check of the whole folder", runPut},
-        {"rm", "NAME", "removes a file", runRemove},
-        {"check", "FOLDER", "checks a local folder; needs no node", runCheck},
-        {"status", "", "shows what the nodes know", runStatus},
-        {"explain", "METHOD PATH", "shows where a request would go and why", runExplain},
-        {"timeline", "", "shows the events of all nodes in causal order", runTimeline},
-        {"metrics", "", "prints the nodes' metrics", runMetrics},
+        {"ls", "", "lists the files of the folder with their versions", "Needs --store.", 0, 0, runList},
+        {"get", "NAME", "prints a file", "Needs --store. The version goes to standard error; give it to put or rm with --expect.", 1, 1, runGet},
+        {"put", "FILE [NAME]", "adds or replaces a file, after a check of the whole folder",
+            "Needs --store. With --expect VERSION the file is replaced only if it still has that version (0: if there is none);\n"
+            "without, only if nobody changes it while the command runs. A refused change shows what is there instead.",
+            1, 2, runPut},
+        {"rm", "NAME", "removes a file, after a check of the rest", "Needs --store. Takes --expect VERSION as put does. The last file can't be removed.", 1, 1, runRemove},
+        {"check", "FOLDER", "checks a local folder; needs no node and no store", "Prints FILE:LINE:COLUMN: KEY: what is wrong, a line each.", 1, 1, runCheck},
+        {"diff", "FOLDER|FILE", "compares a local folder or file with the store's", "Needs --store. Lines only in the store are marked '-', lines only here '+'.", 1, 1, runDiff},
+        {"status", "", "shows what is in force where, what lags, members and drains", "Needs --nodes; one live node is enough, since it names the others.\nWithout --nodes, or if none answers, prints what the failure domains last wrote to --store.", 0, 0, runStatus},
+        {"explain", "METHOD PATH", "shows where a request would go and why", "Needs --nodes.", 2, 2, runExplain},
+        {"timeline", "", "shows the events of all nodes in causal order", "Needs --nodes.", 0, 0, runTimeline},
+        {"metrics", "", "prints the nodes' metrics", "Needs --nodes.", 0, 0, runMetrics},
     };
     return table;
 }
 
-ExitStatus runCommand(const std::string& name, const CommandContext& context)
+std::string exitStatusText()
+{
+    return "Exit statuses: 0 done, 1 the store or the nodes could not be reached, 2 wrong usage, 3 the configuration has errors,\n"
+           "4 someone else changed the file first, 5 diff found differences, 6 the outcome of an update is unknown.\n";
+}
+
+std::string commandHelp(const Command& command)
+{
+    return fmt::format("Usage: balsamctl [options] {} {}\n{}.\n{}\n\n{}", command.name, command.arguments, command.help, command.details, exitStatusText());
+}
+
+const Command* findCommand(const std::string& name)
 {
     auto command = std::ranges::find(commands(), name, &Command::name);
-    if (command == commands().end())
+    return command == commands().end() ? nullptr : &*command;
+}
+
+ExitStatus runCommand(const std::string& name, const CommandContext& context)
+{
+    const auto* command = findCommand(name);
+    if (!command)
         return fail(fmt::format("no such command: '{}'; see balsamctl --help", name), ExitStatus::Usage);
+    if (context.arguments.size() < command->minimumArguments || context.arguments.size() > command->maximumArguments)
+        return fail(fmt::format("usage: balsamctl {} {}", command->name, command->arguments), ExitStatus::Usage);
     return command->run(context);
 }
 
--- /dev/null
+++ b/lib/Operator/Common.h
@@ -0,0 +1,30 @@
+// What the commands of balsamctl share.
+#pragma once
+
+#include "balsamreel/Operator/Commands.h"
+#include "balsamreel/Store/Client.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Operator {
+
+/// Prints the message with the program's name on standard error; gives the status.
+ExitStatus fail(const std::string& message, ExitStatus = ExitStatus::Failed);
+
+/// A node's answer, or nothing.
+std::optional<std::string> askNode(const Support::Endpoint& node, const std::string& uri);
+
+/// Runs an action with a store client; Usage if no store is set.
+ExitStatus withStore(const CommandContext&, ExitStatus (*action)(const CommandContext&, Store::Client&));
+
+ExitStatus runList(const CommandContext&);
+ExitStatus runGet(const CommandContext&);
+ExitStatus runPut(const CommandContext&);
+ExitStatus runRemove(const CommandContext&);
+ExitStatus runCheck(const CommandContext&);
+ExitStatus runDiff(const CommandContext&);
+ExitStatus runStatus(const CommandContext&);
+
+} // namespace balsamreel::Operator
--- /dev/null
+++ b/lib/Operator/FileCommands.cpp
@@ -0,0 +1,256 @@
+#include "Common.h"
+#include "balsamreel/Config/Acceptor.h"
+#include "balsamreel/Operator/Diff.h"
+#include "balsamreel/Store/Settle.h"
+#include "balsamreel/Support/Random.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace balsamreel::Operator {
+
+using Store::StoreError;
+
+namespace {
+
+std::optional<std::string> readLocalFile(const std::filesystem::path& path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream)
+        return std::nullopt;
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return std::move(text).str();
+}
+
+std::optional<std::vector<Config::File>> readLocalFolder(const std::string& folder)
+{
+    std::vector<Config::File> files;
+    std::error_code error;
+    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+        if (!entry.is_regular_file())
+            continue;
+        auto text = readLocalFile(entry.path());
+        if (!text)
+            return std::nullopt;
+        files.push_back({entry.path().filename().string(), std::move(*text), 0});
+    }
+    std::ranges::sort(files, {}, &Config::File::name);
+    return error ? std::nullopt : std::optional(files);
+}
+
+Store::SettleOptions settleOptions()
+{
+    return {.seed = Support::randomSeed(), .sleep = [](Support::Duration duration) { std::this_thread::sleep_for(duration); }};
+}
+
+ExitStatus storeFailure(std::error_code error, const std::string& name)
+{
+    if (error == StoreError::OutcomeUnknown)
+        return fail(fmt::format("{}: the object store took the call but its answer was lost, and it could not be read back; see 'balsamctl get {}'", name, name), ExitStatus::Unknown);
+    return fail(fmt::format("{}: {}", name, error.message()));
+}
+
+ExitStatus report(const std::vector<Config::Diagnostic>& diagnostics)
+{
+    for (const auto& diagnostic : diagnostics)
+        fmt::print(stderr, "{}\n", diagnostic.text());
+    return diagnostics.empty() ? ExitStatus::Done : ExitStatus::Invalid;
+}
+
+// Says what is there in place of the own change. `text` is null for a removal.
+ExitStatus reportConflict(const CommandContext& context, Store::Client& store, const std::string& name, const std::string* text)
+{
+    Store::Object winner;
+    auto error = store.get(Config::filesPrefix(context.deployment) + name, winner);
+    if (error == StoreError::NotFound)
+        return fail(fmt::format("{}: someone else removed it first; nothing was changed by you", name), ExitStatus::Conflict);
+    if (error)
+        return fail(fmt::format("{}: someone else changed it first; what is there now can't be read: {}", name, error.message()), ExitStatus::Conflict);
+    fail(fmt::format("{}: someone else changed it first; version {} is in the folder, nothing was changed by you", name, winner.version));
+    if (text) {
+        fmt::print(stderr, "theirs (-) against yours (+):\n");
+        for (const auto& line : lineDiff(winner.value, *text))
+            fmt::print(stderr, "{}\n", line);
+    }
+    return ExitStatus::Conflict;
+}
+
+Store::Precondition preconditionOf(std::uint64_t version)
+{
+    return version > 0 ? Store::Precondition(Store::IfVersion{version}) : Store::Precondition(Store::IfAbsent());
+}
+
+ExitStatus list(const CommandContext& context, Store::Client& store)
+{
+    auto prefix = Config::filesPrefix(context.deployment);
+    Store::Listing listing;
+    if (auto error = store.list(prefix, listing))
+        return storeFailure(error, "ls");
+    for (const auto& entry : listing.entries)
+        fmt::print("{:>8} {}\n", entry.version, entry.key.substr(prefix.size()));
+    return ExitStatus::Done;
+}
+
+ExitStatus get(const CommandContext& context, Store::Client& store)
+{
+    const auto& name = context.arguments[0];
+    Store::Object object;
+    if (auto error = store.get(Config::filesPrefix(context.deployment) + name, object))
+        return storeFailure(error, name);
+    fmt::print("{}", object.value);
+    fmt::print(stderr, "{} version {}\n", name, object.version);
+    return ExitStatus::Done;
+}
+
+ExitStatus put(const CommandContext& context, Store::Client& store)
+{
+    std::filesystem::path path(context.arguments[0]);
+    auto name = context.arguments.size() > 1 ? context.arguments[1] : path.filename().string();
+    auto text = readLocalFile(path);
+    if (!text)
+        return fail(fmt::format("{}: cannot be read", path.string()));
+    // The whole folder is checked as it would become, so that a bad file never gets in.
+    std::vector<Config::File> files;
+    if (auto error = Config::readFolder(store, context.deployment, files))
+        return storeFailure(error, name);
+    auto existing = std::ranges::find(files, name, &Config::File::name);
+    auto current = existing != files.end() ? existing->version : 0;
+    if (context.expectedVersion && *context.expectedVersion != current)
+        return reportConflict(context, store, name, &*text);
+    if (existing != files.end())
+        existing->text = *text;
+    else
+        files.push_back({name, *text, 0});
+    if (auto status = report(Config::checkFolder(files).diagnostics); status != ExitStatus::Done)
+        return status;
+    std::uint64_t version = 0;
+    auto error = Store::settlePut(store, Config::filesPrefix(context.deployment) + name, *text, preconditionOf(current), version, settleOptions());
+    if (error == StoreError::VersionConflict)
+        return reportConflict(context, store, name, &*text);
+    if (error)
+        return storeFailure(error, name);
+    fmt::print("{} version {}\n", name, version);
+    return ExitStatus::Done;
+}
+
+ExitStatus remove(const CommandContext& context, Store::Client& store)
+{
+    const auto& name = context.arguments[0];
+    std::vector<Config::File> files;
+    if (auto error = Config::readFolder(store, context.deployment, files))
+        return storeFailure(error, name);
+    auto existing = std::ranges::find(files, name, &Config::File::name);
+    if (existing == files.end())
+        return context.expectedVersion ? reportConflict(context, store, name, nullptr) : storeFailure(StoreError::NotFound, name);
+    auto current = existing->version;
+    if (context.expectedVersion && *context.expectedVersion != current)
+        return reportConflict(context, store, name, nullptr);
+    files.erase(existing);
+    if (files.empty())
+        return fail(fmt::format("{}: is the last file, and an empty folder is not accepted; to serve nothing put a file with only a comment", name), ExitStatus::Invalid);
+    if (auto status = report(Config::checkFolder(files).diagnostics); status != ExitStatus::Done)
+        return status;
+    auto error = Store::settleRemove(store, Config::filesPrefix(context.deployment) + name, Store::IfVersion{current}, settleOptions());
+    if (error == StoreError::VersionConflict || error == StoreError::NotFound)
+        return reportConflict(context, store, name, nullptr);
+    if (error)
+        return storeFailure(error, name);
+    fmt::print("{} removed\n", name);
+    return ExitStatus::Done;
+}
+
+const Config::File* findFile(const std::vector<Config::File>& files, const std::string& name)
+{
+    auto found = std::ranges::find(files, name, &Config::File::name);
+    return found == files.end() ? nullptr : &*found;
+}
+
+// Prints what would change in the store if the local file took the place of its namesake.
+bool printDifference(const std::string& name, const Config::File* stored, const Config::File* local)
+{
+    if (stored && local && stored->text == local->text)
+        return false;
+    if (!stored)
+        fmt::print("{}: only here\n", name);
+    else if (!local)
+        fmt::print("{}: only in the store, version {}\n", name, stored->version);
+    else
+        fmt::print("{}: differs from version {}\n", name, stored->version);
+    for (const auto& line : lineDiff(stored ? stored->text : "", local ? local->text : ""))
+        fmt::print("{}\n", line);
+    return true;
+}
+
+ExitStatus diff(const CommandContext& context, Store::Client& store)
+{
+    std::filesystem::path path(context.arguments[0]);
+    std::optional<std::vector<Config::File>> local;
+    bool isFolder = std::filesystem::is_directory(path);
+    if (isFolder)
+        local = readLocalFolder(path.string());
+    else if (auto text = readLocalFile(path))
+        local = {{path.filename().string(), std::move(*text), 0}};
+    if (!local)
+        return fail(fmt::format("{}: cannot be read", path.string()));
+    std::vector<Config::File> stored;
+    if (auto error = Config::readFolder(store, context.deployment, stored))
+        return storeFailure(error, "diff");
+    std::set<std::string> names;
+    for (const auto& file : *local)
+        names.insert(file.name);
+    for (const auto& file : stored) {
+        if (isFolder)
+            names.insert(file.name);
+    }
+    bool isDifferent = false;
+    for (const auto& name : names)
+        isDifferent = printDifference(name, findFile(stored, name), findFile(*local, name)) || isDifferent;
+    return isDifferent ? ExitStatus::Different : ExitStatus::Done;
+}
+
+} // namespace
+
+ExitStatus runList(const CommandContext& context)
+{
+    return withStore(context, list);
+}
+
+ExitStatus runGet(const CommandContext& context)
+{
+    return withStore(context, get);
+}
+
+ExitStatus runPut(const CommandContext& context)
+{
+    return withStore(context, put);
+}
+
+ExitStatus runRemove(const CommandContext& context)
+{
+    return withStore(context, remove);
+}
+
+ExitStatus runDiff(const CommandContext& context)
+{
+    return withStore(context, diff);
+}
+
+ExitStatus runCheck(const CommandContext& context)
+{
+    auto files = readLocalFolder(context.arguments[0]);
+    if (!files)
+        return fail(fmt::format("{}: cannot be read", context.arguments[0]));
+    auto result = Config::checkFolder(*files);
+    if (result.diagnostics.empty())
+        fmt::print("{} files, {} services, {} routes: good\n", files->size(), result.configuration.services.size(), result.configuration.routes.size());
+    return report(result.diagnostics);
+}
+
+} // namespace balsamreel::Operator
