--- /dev/null
+++ b/unittests/Store/ClientTest.cpp
@@ -0,0 +1,127 @@
+// The client against the stand-in of the store, with its faults switched on.
+#include "balsamreel/Standins/FakeStore.h"
+#include "balsamreel/Store/Client.h"
+#include "balsamreel/Store/Settle.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace balsamreel::Store {
+namespace {
+
+class ClientTest : public testing::Test {
+protected:
+    ClientTest()
+        : store_(1)
+        , endpoint_{"127.0.0.1", Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().port()}
+        , service_(endpoint_, [this](auto& request, auto& response) {
+            ++requests_;
+            if (mustCut_) {
+                response.setContentLength(100);
+                response.send() << "cut";
+                return;
+            }
+            request.setURI(uri_.empty() ? request.getURI() : uri_);
+            store_.handle(request, response);
+        })
+    {
+        service_.start();
+    }
+
+    void setFaults(const std::string& faults)
+    {
+        // The stand-in takes its faults on the same address; a client of its own sends them.
+        uri_ = "/v1/faults?" + faults;
+        Client client(endpoint_);
+        Object ignored;
+        client.get("ignored", ignored);
+        uri_.clear();
+    }
+
+    Standins::FakeStore store_;
+    Support::Endpoint endpoint_;
+    std::string uri_; ///< in place of the request's own
+    std::atomic<bool> mustCut_{false};
+    std::atomic<unsigned> requests_{0};
+    Support::HttpService service_;
+};
+
+TEST_F(ClientTest, KeepsOneConnectionForManyCalls)
+{
+    Client client(endpoint_);
+    Object object;
+    for (int call = 0; call < 20; ++call)
+        EXPECT_EQ(client.get("none", object), StoreError::NotFound);
+    EXPECT_EQ(service_.openConnections(), 1);
+    EXPECT_EQ(client.calls(), 20U);
+}
+
+TEST_F(ClientTest, SettlesAnUpdateWhoseAnswerIsLost)
+{
+    Client client(endpoint_);
+    setFaults("lose_answers=1");
+    std::uint64_t version = 0;
+    EXPECT_EQ(client.put("k", "first", IfAbsent(), version), StoreError::OutcomeUnknown);
+    SettleOptions options{.sleep = [](Support::Duration) { }};
+    EXPECT_EQ(settlePut(client, "k", "mine", IfAbsent(), version, options), StoreError::VersionConflict);
+    Object object;
+    ASSERT_FALSE(client.get("k", object));
+    EXPECT_FALSE(settlePut(client, "k", "mine", IfVersion{object.version}, version, options));
+    EXPECT_GT(version, object.version);
+    EXPECT_FALSE(settleRemove(client, "k", IfVersion{version}, options));
+}
+
+TEST_F(ClientTest, HoldsCallsBackInAnOutageAndComesBack)
+{
+    ClientOptions options;
+    options.breaker = {.failuresToOpen = 3, .trialsToClose = 2, .openFor = {std::chrono::milliseconds(50), std::chrono::milliseconds(50)}};
+    Client client(endpoint_, options);
+    setFaults("down=1");
+    auto before = requests_.load();
+    Object object;
+    for (int call = 0; call < 100; ++call)
+        EXPECT_EQ(client.get("k", object), StoreError::Unavailable);
+    EXPECT_LT(requests_ - before, 100U);
+    EXPECT_TRUE(client.isOpen());
+    setFaults("down=0");
+    while (client.get("k", object) != StoreError::NotFound || client.isOpen())
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+}
+
+TEST_F(ClientTest, StaysWithinItsBudget)
+{
+    ClientOptions options;
+    options.callsPerSecond = 0.001;
+    options.burst = 3;
+    Client client(endpoint_, options);
+    Object object;
+    for (int call = 0; call < 3; ++call)
+        EXPECT_EQ(client.get("k", object), StoreError::NotFound);
+    EXPECT_EQ(client.get("k", object), StoreError::BudgetSpent);
+    EXPECT_EQ(requests_, 3U);
+}
+
+TEST_F(ClientTest, ACutAnswerIsNoAnswer)
+{
+    Client client(endpoint_);
+    mustCut_ = true;
+    Object object;
+    std::uint64_t version = 0;
+    EXPECT_EQ(client.get("k", object), StoreError::Unavailable);
+    EXPECT_EQ(client.put("k", "v", Always(), version), StoreError::OutcomeUnknown);
+}
+
+TEST_F(ClientTest, RefusesWhatTheStoreWillNotTake)
+{
+    Client client(endpoint_);
+    std::uint64_t version = 0;
+    EXPECT_EQ(client.put("k", std::string(maximumValueBytes + 1, 'x'), Always(), version), StoreError::TooLarge);
+    EXPECT_EQ(requests_, 0U);
+}
+
+} // namespace
+} // namespace balsamreel::Store
