Let a node start in a deployment of fewer than three failure domains

Cause: the new test of whole nodes (two domains, store down) waited for a third domain's answer for ever; the end of the patience was looked at only after a fetch.

--- a/lib/Node/ConfigFollower.cpp
+++ b/lib/Node/ConfigFollower.cpp
@@ -154,8 +154,11 @@
             if (auto head = fetchHead(peer.peer); head && head->generation > 0)
                 choice.offer(peer.domain, std::move(*head));
             if (choice.isSettled(monotonicNow()))
-                return apply(choice.newest(), "peer");
+                break;
         }
+        // Where there are fewer domains than wanted, only the end of the patience settles it.
+        if (choice.isSettled(monotonicNow()))
+            apply(choice.newest(), "peer");
     }
 }
 
--- a/unittests/Store/ClientTest.cpp
+++ b/unittests/Store/ClientTest.cpp
@@ -1,6 +1,6 @@
 // The client against the stand-in of the store, with its faults switched on.
-#include "balsamreel/Standins/FakeStore.h"
 #include "balsamreel/Store/Client.h"
+#include "balsamreel/Standins/FakeStore.h"
 #include "balsamreel/Store/Settle.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -66,7 +66,7 @@
     setFaults("lose_answers=1");
     std::uint64_t version = 0;
     EXPECT_EQ(client.put("k", "first", IfAbsent(), version), StoreError::OutcomeUnknown);
-    SettleOptions options{.sleep = [](Support::Duration) { }};
+    SettleOptions options{.sleep = [](Support::Duration) {}};
     EXPECT_EQ(settlePut(client, "k", "mine", IfAbsent(), version, options), StoreError::VersionConflict);
     Object object;
     ASSERT_FALSE(client.get("k", object));
