Claim idempotency keys in the object store before dispatch

Cause: a caller's own repeat ran again: nothing remembered a call beyond its connection and its entry.

Change: a call with an Idempotency-Key is at most once; its entry must see its token in the key's shard object, written by conditional update, before it sends an attempt. A lost answer of the store is settled by reading back. Repeats get the retained answer, in-progress, unknown or not-run. While the store is down keyed calls are refused as not run. Once::ClaimShard decides; KeyClaims and KeyedCall do the I/O. balsam-load sends keyed calls and repeats them through other entries; it tells lost and silent connections from cut answers, counts "not run" that ran for all kinds of calls, not only for at-most-once ones, and its exit status takes lost and silent calls for wrong. fake-server can keep its execution log in a file over a kill.

Ruled out: a claim per key as an object of its own (writes would grow with the calls); dropping old claims from a full shard (a repeat could run again).

--- a/include/balsamreel/Load/Runner.h
+++ b/include/balsamreel/Load/Runner.h
@@ -19,9 +19,14 @@
     ServerError,
     WrongAnswer, ///< another call's answer, or a body that differs
     Cut, ///< the connection ended before the answer did
-    Unreachable };
+    Unreachable,
+    Lost, ///< the connection closed without any answer
+    Silent, ///< no answer came within twice the deadline
+    InProgress, ///< an earlier call with the same key was said to run still, to the end of the repeats
+    AnswerGone ///< it ran, as a repeat has learned, but its answer was not kept
+};
 
-constexpr Support::NameTable<CallResult, 7> callResultNames{{{CallResult::Good, "good"}, {CallResult::NotRun, "not_run"}, {CallResult::Unknown, "unknown"}, {CallResult::ServerError, "server_error"}, {CallResult::WrongAnswer, "wrong_answer"}, {CallResult::Cut, "cut"}, {CallResult::Unreachable, "unreachable"}}};
+constexpr Support::NameTable<CallResult, 11> callResultNames{{{CallResult::Good, "good"}, {CallResult::NotRun, "not_run"}, {CallResult::Unknown, "unknown"}, {CallResult::ServerError, "server_error"}, {CallResult::WrongAnswer, "wrong_answer"}, {CallResult::Cut, "cut"}, {CallResult::Unreachable, "unreachable"}, {CallResult::Lost, "lost"}, {CallResult::Silent, "silent"}, {CallResult::InProgress, "in_progress"}, {CallResult::AnswerGone, "answer_gone"}}};
 
 struct RunOptions {
     std::vector<Support::Endpoint> entries;
@@ -40,6 +45,8 @@
     CallResult result = CallResult::Good;
     Support::Duration dueAt{}; ///< since the start of the run
     Support::Duration latency{};
+    std::uint32_t entry = 0; ///< the last one that the call went through
+    std::uint32_t repeats = 0; ///< of a keyed call
 };
 
 struct RunResult {
--- a/include/balsamreel/Node/Daemon.h
+++ b/include/balsamreel/Node/Daemon.h
@@ -33,8 +33,9 @@
 
     Context context_;
     Guard guard_;
-    Entry entry_;
     Gossip gossip_;
+    KeyClaims claims_;
+    Entry entry_;
     ConfigFollower follower_;
     Admin admin_;
     std::atomic<bool> isEnding_{false};
--- a/include/balsamreel/Node/Entry.h
+++ b/include/balsamreel/Node/Entry.h
@@ -3,6 +3,7 @@
 
 #include "balsamreel/Node/AttemptQuery.h"
 #include "balsamreel/Node/Context.h"
+#include "balsamreel/Node/KeyClaims.h"
 
 #include <cstdint>
 #include <map>
@@ -13,8 +14,9 @@
 
 class Entry {
 public:
-    explicit Entry(Context& context)
+    Entry(Context& context, KeyClaims& claims)
         : context_(context)
+        , claims_(claims)
     {
     }
 
@@ -26,6 +28,8 @@
         TryAnother };
 
     bool readCall(Call&);
+    bool claimKey(Call&);
+    static void note(Call&, Once::ClaimState, std::optional<Once::RetainedAnswer> = std::nullopt);
     Step attempt(Call&, const Balance::Choice&);
     Step onError(Call&, std::error_code, Recovery&);
     Step onVerdict(Call&, const Recovery&, std::error_code);
@@ -36,6 +40,7 @@
     void sendUnknown(Call&, const std::string& reason);
 
     Context& context_;
+    KeyClaims& claims_;
 };
 
 } // namespace balsamreel::Node
--- a/include/balsamreel/Node/Exchange.h
+++ b/include/balsamreel/Node/Exchange.h
@@ -95,6 +95,9 @@
     /// All of the body is in memory.
     bool isWhole() const { return isWhole_; }
 
+    /// The part in memory.
+    const std::string& first() const { return first_; }
+
     /// The part that is not in memory has been taken from the caller, so it can't be sent again.
     bool isSpent() const { return isSpent_; }
 
--- a/include/balsamreel/Standins/FakeServer.h
+++ b/include/balsamreel/Standins/FakeServer.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -29,6 +30,7 @@
     double noiseFactor = 4;
     Support::Duration loadLag = std::chrono::seconds(1); ///< age of what its load endpoint says
     std::uint64_t seed = 1;
+    std::string executionLog; ///< file that keeps what it ran over a kill; empty: memory only
     std::optional<Support::Endpoint> entry; ///< for the calls it makes itself
 };
 
@@ -64,6 +66,7 @@
     void announceLoop();
     bool announce(const std::string& state);
     void noiseLoop();
+    void readExecutionLog();
 
     FakeServerOptions options_;
     Support::Instant startedAt_;
@@ -75,6 +78,7 @@
     Support::Instant loadTakenAt_;
     ServerFaults faults_;
     std::map<std::string, unsigned> executions_;
+    std::ofstream executionLog_;
     std::uint64_t cancelled_ = 0;
     Support::Random random_;
     std::atomic<bool> isNoisy_{false};
--- a/include/balsamreel/Wire/Headers.h
+++ b/include/balsamreel/Wire/Headers.h
@@ -30,6 +30,7 @@
 constexpr const char* queryHeader = "X-Balsam-Query"; ///< asks for the state of an attempt: "state" or "revoke"
 constexpr const char* attemptStateHeader = "X-Balsam-Attempt-State"; ///< the answer to a query
 constexpr const char* retainedHeader = "X-Balsam-Retained"; ///< status of the retained answer that the body holds
+constexpr const char* replayedHeader = "X-Balsam-Replayed"; ///< the answer is that of an earlier call with the same key
 constexpr const char* workClassHeader = "X-Balsam-Class";
 constexpr const char* idempotencyKeyHeader = "Idempotency-Key";
 
--- a/lib/Load/Profile.cpp
+++ b/lib/Load/Profile.cpp
@@ -19,7 +19,8 @@
         {"steady", {{.name = "specs", .path = "/catalog/specs", .work = milliseconds(4)}}},
         {"orders",
             {
-                {.name = "release", .method = "POST", .path = "/batch/release", .share = 50, .work = milliseconds(6), .isAtMostOnce = true, .requestBytes = 256},
+                {.name = "release", .method = "POST", .path = "/batch/release", .share = 25, .work = milliseconds(6), .isAtMostOnce = true, .requestBytes = 256},
+                {.name = "booking", .method = "POST", .path = "/batch/coating", .share = 25, .work = milliseconds(6), .isAtMostOnce = true, .isKeyed = true, .requestBytes = 256},
                 {.name = "coating", .method = "POST", .path = "/batch/coating", .share = 2, .work = milliseconds(300), .isLong = true, .isAtMostOnce = true, .answerBytes = 128 * 1024, .requestBytes = 128 * 1024},
                 {.name = "fixtures", .path = "/batch/fixtures", .share = 48, .work = milliseconds(4)},
             }},
--- a/lib/Load/Runner.cpp
+++ b/lib/Load/Runner.cpp
@@ -2,6 +2,7 @@
 
 #include "balsamreel/Support/Random.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -85,12 +86,32 @@
     {
     }
 
-    CallResult call(const CallRecord& record)
+    void call(CallRecord& record)
     {
-        auto index = random_.below(options_.entries.size());
-        auto& session = sessions_[index];
+        constexpr Duration repeatPause = std::chrono::milliseconds(100);
+        record.entry = static_cast<std::uint32_t>(random_.below(options_.entries.size()));
+        record.result = callOnce(record);
+        auto end = monotonicNow() + 2 * options_.deadline;
+        while (options_.profile.kinds[record.kind].isKeyed && isRepeated(record.result) && monotonicNow() < end) {
+            std::this_thread::sleep_for(repeatPause);
+            ++record.repeats;
+            record.entry = static_cast<std::uint32_t>((record.entry + 1) % options_.entries.size());
+            record.result = callOnce(record);
+        }
+    }
+
+private:
+    static bool isRepeated(CallResult result)
+    {
+        constexpr std::array repeated{CallResult::NotRun, CallResult::InProgress, CallResult::Unreachable, CallResult::Lost, CallResult::Silent, CallResult::Cut};
+        return std::ranges::find(repeated, result) != repeated.end();
+    }
+
+    CallResult callOnce(const CallRecord& record)
+    {
+        auto& session = sessions_[record.entry];
         if (!session) {
-            const auto& entry = options_.entries[index];
+            const auto& entry = options_.entries[record.entry];
             session = std::make_unique<HTTPClientSession>(entry.host, entry.port);
             session->setKeepAlive(true);
             session->setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(2 * options_.deadline.count())));
@@ -98,13 +119,15 @@
         bool isConnected = false;
         try {
             return exchange(*session, record, isConnected);
+        } catch (const Poco::TimeoutException&) {
+            session.reset();
+            return isConnected ? CallResult::Silent : CallResult::Unreachable;
         } catch (const Poco::Exception&) {
             session.reset();
-            return isConnected ? CallResult::Cut : CallResult::Unreachable;
+            return isConnected ? CallResult::Lost : CallResult::Unreachable;
         }
     }
 
-private:
     CallResult exchange(HTTPClientSession& session, const CallRecord& record, bool& isConnected)
     {
         const auto& kind = options_.profile.kinds[record.kind];
@@ -116,6 +139,8 @@
         request.set("X-Balsam-Remaining-Us", std::to_string(options_.deadline.count()));
         if (!kind.chain.empty())
             request.set("X-Test-Chain", kind.chain);
+        if (kind.isKeyed)
+            request.set("Idempotency-Key", id);
         if (kind.method != HTTPRequest::HTTP_GET)
             request.setContentLength64(static_cast<Poco::Int64>(kind.requestBytes));
         // A kept-alive connection that the other end has closed in the meantime is no failure of the call.
@@ -135,6 +160,10 @@
             return CallResult::NotRun;
         if (outcome == "unknown")
             return CallResult::Unknown;
+        if (outcome == "in-progress")
+            return CallResult::InProgress;
+        if (response.get("X-Balsam-Reason", "") == "answer-not-kept")
+            return CallResult::AnswerGone;
         if (response.getStatus() >= firstServerError)
             return CallResult::ServerError;
         if (!isWhole)
@@ -179,7 +208,7 @@
         bool isAtMostOnce = options.profile.kinds[call.kind].isAtMostOnce;
         result.executions += isAtMostOnce ? count : 0;
         result.ranTwice += isAtMostOnce && count > 1 ? 1 : 0;
-        result.falseNotRun += isAtMostOnce && call.result == CallResult::NotRun && count > 0 ? 1 : 0;
+        result.falseNotRun += call.result == CallResult::NotRun && count > 0 ? 1 : 0;
     }
 }
 
@@ -193,6 +222,22 @@
     return counts;
 }
 
+// Who ends a process decides whether a lost connection was the balancer's fault; so the entries are told apart.
+void addConnectionLosses(const RunOptions& options, const RunResult& result, Poco::JSON::Object& root)
+{
+    std::vector<std::uint64_t> lost(options.entries.size());
+    std::uint64_t repeats = 0;
+    for (const auto& call : result.calls) {
+        lost[call.entry] += call.result == CallResult::Lost ? 1 : 0;
+        repeats += call.repeats;
+    }
+    Poco::JSON::Array::Ptr rows = new Poco::JSON::Array;
+    for (auto count : lost)
+        rows->add(count);
+    root.set("lost_by_entry", rows);
+    root.set("repeats", repeats);
+}
+
 } // namespace
 
 RunResult runLoad(const RunOptions& options)
@@ -212,7 +257,7 @@
                     return;
                 auto& call = result.calls[position];
                 std::this_thread::sleep_until(start + call.dueAt);
-                call.result = worker.call(call);
+                worker.call(call);
                 call.latency = monotonicNow() - (start + call.dueAt);
             }
         });
@@ -251,6 +296,7 @@
     root.set("at_most_once_executions", result.executions);
     root.set("ran_twice", result.ranTwice);
     root.set("false_not_run", result.falseNotRun);
+    addConnectionLosses(options, result, root);
     std::ostringstream stream;
     root.stringify(stream);
     return std::move(stream).str();
--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -34,8 +34,9 @@
 Daemon::Daemon(NodeSettings settings)
     : context_(std::move(settings), static_cast<std::uint64_t>(Support::wallMicros()), Support::randomSeed())
     , guard_(context_)
-    , entry_(context_)
     , gossip_(context_, guard_, Support::randomSeed())
+    , claims_(context_, [this] { return gossip_.members(); })
+    , entry_(context_, claims_)
     , follower_(context_, gossip_)
     , admin_(context_, guard_, gossip_, follower_)
     , callers_(
@@ -63,6 +64,7 @@
     peers_.start();
     callers_.start();
     gossip_.start();
+    claims_.start();
     follower_.start();
     ticker_ = std::thread([this] { runTicks(); });
     const auto& settings = context_.settings;
@@ -73,6 +75,8 @@
 void Daemon::handlePeer(HTTPServerRequest& request, HTTPServerResponse& response)
 {
     // Callers can't set this header: entries strip the system's own ones.
+    if (request.has(Wire::queryHeader) && Support::pathOf(request.getURI()) == "/balsam/claim")
+        return claims_.handle(request, response);
     if (request.has(Wire::queryHeader))
         return guard_.handleQuery(request, response);
     if (request.getURI() != "/balsam/head" || request.has("X-Balsam-Attempt"))
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -59,6 +59,7 @@
     Duration retryAfter{};
     unsigned attempts = 0;
     bool isAtMostOnce = false;
+    std::unique_ptr<KeyedCall> keyed; ///< null if the call brings no key
     bool mayHaveRun = false; ///< an attempt of repeatable work was sent and its outcome is not known
 };
 
@@ -97,6 +98,23 @@
     return true;
 }
 
+// A key makes at-most-once work of any call.
+bool Entry::claimKey(Call& call)
+{
+    if (!call.request.has(Wire::idempotencyKeyHeader))
+        return true;
+    call.isAtMostOnce = true;
+    call.keyed = std::make_unique<KeyedCall>(context_, claims_);
+    return call.keyed->claim(call.request, call.response, call.body, call.route->name, call.deadline);
+}
+
+// Noted before the caller is answered, which may fail.
+void Entry::note(Call& call, Once::ClaimState state, std::optional<Once::RetainedAnswer> answer)
+{
+    if (call.keyed)
+        call.keyed->setOutcome(state, std::move(answer));
+}
+
 SentAttempt Entry::fillRequest(const Call& call, const Balance::Choice& choice, HTTPRequest& request)
 {
     copyHeaders(call.request, request);
@@ -124,12 +142,14 @@
 {
     if (call.mayHaveRun)
         return sendUnknown(call, reason);
+    note(call, Once::ClaimState::NotRun);
     context_.metrics.add(fmt::format("balsam_entry_not_run_total{{reason=\"{}\"}}", reason));
     sendNotRun(call.response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, call.retryAfter, !call.body.isWhole());
 }
 
 void Entry::sendUnknown(Call& call, const std::string& reason)
 {
+    note(call, Once::ClaimState::Unknown);
     context_.metrics.add("balsam_entry_unknown_total");
     call.response.set(Wire::outcomeHeader, std::string(Support::nameOf(Wire::outcomeNames, Wire::Outcome::Unknown)));
     call.response.set(Wire::reasonHeader, reason);
@@ -143,6 +163,7 @@
     if (recovery.verdict() == Once::Verdict::Deliver) {
         call.response.set(Wire::outcomeHeader, std::string(Support::nameOf(Wire::outcomeNames, Wire::Outcome::Ran)));
         call.response.set(Wire::callHeader, call.callId);
+        note(call, Once::ClaimState::Done, recovery.answer());
         sendRetained(recovery.answer(), call.response);
         return Step::Answered;
     }
@@ -195,6 +216,9 @@
         recovery.settle();
         return onVerdict(call, recovery, error);
     }
+    bool hasRun = !error && outcomeOf(answer) == Support::nameOf(Wire::outcomeNames, Wire::Outcome::Ran);
+    if (hasRun)
+        note(call, Once::ClaimState::Done, capture.isWhole() ? std::optional(capture.answer()) : std::nullopt);
     capture.send(error);
     return Step::Answered;
 }
@@ -215,7 +239,13 @@
     HTTPRequest request(call.request.getMethod(), call.request.getURI(), HTTPRequest::HTTP_1_1);
     Recovery recovery(context_, fillRequest(call, choice, request), call.isAtMostOnce);
     auto sentAt = monotonicNow();
-    ExchangeOptions options{.target = choice.guard, .deadline = call.deadline, .holdsBody = !call.body.isWhole(), .caller = &socketOf(call.request)};
+    ExchangeOptions options{
+        .target = choice.guard,
+        .deadline = call.deadline,
+        .holdsBody = !call.body.isWhole(),
+    };
+    // A keyed call goes on without its caller, who may come back for the answer.
+    options.caller = call.keyed ? nullptr : &socketOf(call.request);
     options.checkAfter = recovery.nextCheck();
     options.check = [&] { return recovery.check(); };
     Exchange exchange(context_.pool, std::move(options));
@@ -260,6 +290,8 @@
     Call call{.request = request, .response = response, .body = RequestBody(request)};
     if (!readCall(call))
         return;
+    if (!claimKey(call))
+        return;
     bool isNaive = context_.settings.isNaive || call.service->policy == Config::PolicyKind::Naive;
     while (true) {
         auto now = monotonicNow();
--- /dev/null
+++ b/lib/Node/KeyedCall.cpp
@@ -0,0 +1,136 @@
+#include "balsamreel/Node/AnswerCapture.h"
+#include "balsamreel/Node/KeyClaims.h"
+#include "balsamreel/Support/Http.h"
+#include "balsamreel/Wire/Headers.h"
+
+#include <Poco/SHA1Engine.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace balsamreel::Node {
+
+using Once::ClaimReply;
+using Once::ClaimResult;
+using Once::ClaimState;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using Support::Duration;
+using Support::Instant;
+using Support::monotonicNow;
+
+namespace {
+
+constexpr std::size_t maximumHeaderBytes = 255;
+
+std::string digestOf(const std::string& text)
+{
+    Poco::SHA1Engine engine;
+    engine.update(text);
+    const auto& digest = engine.digest();
+    return {digest.begin(), digest.end()};
+}
+
+std::uint64_t fingerprintOf(const HTTPServerRequest& request, const RequestBody& body)
+{
+    auto digest = digestOf(fmt::format("{} {} {}\n", request.getMethod(), request.getURI(), request.getContentLength64()) + body.first());
+    std::uint64_t fingerprint = 0;
+    std::copy_n(digest.data(), sizeof fingerprint, reinterpret_cast<char*>(&fingerprint));
+    return fingerprint;
+}
+
+std::string outcomeName(Wire::Outcome outcome)
+{
+    return std::string(Support::nameOf(Wire::outcomeNames, outcome));
+}
+
+std::size_t bytesOf(const Once::RetainedAnswer& answer)
+{
+    auto bytes = answer.body.size();
+    for (const auto& [name, value] : answer.headers)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
+void sendOutcome(HTTPServerResponse& response, Wire::Outcome outcome, HTTPResponse::HTTPStatus status, const std::string& reason)
+{
+    response.set(Wire::outcomeHeader, outcomeName(outcome));
+    response.set(Wire::reasonHeader, reason);
+    if (outcome == Wire::Outcome::InProgress)
+        response.set("Retry-After", "1");
+    Support::sendText(response, status, "text/plain", outcomeName(outcome) + ": " + reason + "\n");
+}
+
+} // namespace
+
+KeyedCall::~KeyedCall()
+{
+    if (completion_)
+        claims_.complete(*completion_);
+}
+
+void KeyedCall::setOutcome(ClaimState state, std::optional<Once::RetainedAnswer> answer)
+{
+    if (!completion_)
+        return;
+    completion_->state = state;
+    completion_->answer = answer && bytesOf(*answer) <= Once::maximumClaimAnswerBytes ? std::move(answer) : std::nullopt;
+}
+
+bool KeyedCall::claim(HTTPServerRequest& request, HTTPServerResponse& response, const RequestBody& body, const std::string& route, Instant deadline)
+{
+    auto key = request.get(Wire::idempotencyKeyHeader, "");
+    if (key.empty() || key.size() > maximumHeaderBytes) {
+        sendNotRun(response, HTTPResponse::HTTP_BAD_REQUEST, "malformed-key", Duration::zero(), !body.isWhole());
+        return false;
+    }
+    Once::ClaimRequest claim{digestOf(route + "\n" + key), {context_.attemptIncarnation, context_.nextAttempt++}, fingerprintOf(request, body)};
+    claim.deadline = Support::wallMicros() + (deadline - monotonicNow()).count();
+    completion_ = Once::Completion{claim.key, claim.token, ClaimState::NotRun, std::nullopt};
+    auto reply = claims_.claim(claim, deadline);
+    context_.metrics.add(fmt::format("balsam_claims_total{{result=\"{}\"}}", Support::nameOf(Once::claimResultNames, reply.result)));
+    if (reply.result == ClaimResult::Owned) {
+        completion_->state = ClaimState::Unknown;
+        return true;
+    }
+    // A claim that may yet reach the store is given up as not run; of any other there is nothing to complete.
+    if (reply.result != ClaimResult::Unavailable)
+        completion_.reset();
+    return answer(reply, !body.isWhole(), response);
+}
+
+bool KeyedCall::answer(const ClaimReply& reply, bool isBodyUnread, HTTPServerResponse& response)
+{
+    if (isBodyUnread)
+        response.setKeepAlive(false);
+    std::string reason(Support::nameOf(Once::claimResultNames, reply.result));
+    switch (reply.result) {
+    case ClaimResult::Done:
+        response.set(Wire::replayedHeader, "1");
+        if (!reply.answer) {
+            sendOutcome(response, Wire::Outcome::Ran, HTTPResponse::HTTP_CONFLICT, "answer-not-kept");
+            break;
+        }
+        response.set(Wire::outcomeHeader, outcomeName(Wire::Outcome::Ran));
+        sendRetained(*reply.answer, response);
+        break;
+    case ClaimResult::InProgress:
+        sendOutcome(response, Wire::Outcome::InProgress, HTTPResponse::HTTP_CONFLICT, reason);
+        break;
+    case ClaimResult::Unknown:
+        sendOutcome(response, Wire::Outcome::Unknown, HTTPResponse::HTTP_GATEWAY_TIMEOUT, "earlier-call-unknown");
+        break;
+    case ClaimResult::Mismatch:
+        sendNotRun(response, HTTPResponse::HTTP_UNPROCESSABLE_ENTITY, reason, Duration::zero(), isBodyUnread);
+        break;
+    case ClaimResult::Owned:
+    case ClaimResult::Full:
+    case ClaimResult::Unavailable:
+        sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, Duration::zero(), isBodyUnread);
+        break;
+    }
+    return false;
+}
+
+} // namespace balsamreel::Node
--- a/lib/Standins/FakeServer.cpp
+++ b/lib/Standins/FakeServer.cpp
@@ -89,8 +89,20 @@
     http_.abort();
 }
 
+void FakeServer::readExecutionLog()
+{
+    if (options_.executionLog.empty())
+        return;
+    std::ifstream earlier(options_.executionLog);
+    std::string id;
+    while (std::getline(earlier, id))
+        ++executions_[id];
+    executionLog_.open(options_.executionLog, std::ios::app);
+}
+
 void FakeServer::start()
 {
+    readExecutionLog();
     http_.start();
     announcer_ = std::thread([this] { announceLoop(); });
     noise_ = std::thread([this] { noiseLoop(); });
@@ -223,6 +235,8 @@
         --waiting_;
         ++busy_;
         ++executions_[id];
+        if (executionLog_.is_open())
+            executionLog_ << id << std::endl;
         isSilent = faults_.isSilent;
     }
     auto isCancelled = [&] { return hasCallerLeft(request); };
--- a/tools/balsam-load/main.cpp
+++ b/tools/balsam-load/main.cpp
@@ -44,6 +44,6 @@
         fmt::print(stderr, "balsam-load: {}: tables could not be written\n", folder);
         return 1;
     }
-    bool hasWrong = std::ranges::any_of(result.calls, [](const auto& call) { return call.result == Load::CallResult::WrongAnswer || call.result == Load::CallResult::Cut; });
+    bool hasWrong = std::ranges::any_of(result.calls, [](const auto& call) { return call.result == Load::CallResult::WrongAnswer || call.result == Load::CallResult::Cut || call.result == Load::CallResult::Lost || call.result == Load::CallResult::Silent; });
     return hasWrong || result.ranTwice > 0 || result.falseNotRun > 0 ? 1 : 0;
 }
--- a/tools/fake-server/main.cpp
+++ b/tools/fake-server/main.cpp
@@ -23,12 +23,14 @@
         {.flag = "noise", .environment = "FAKE_SERVER_NOISE", .kind = SettingKind::Real, .fallback = "0", .minimum = 0, .maximum = 1, .help = "share of time in which a neighbour slows it down"},
         {.flag = "noise-factor", .environment = "FAKE_SERVER_NOISE_FACTOR", .kind = SettingKind::Real, .fallback = "4", .minimum = 1, .maximum = 100, .help = "how much slower it is then"},
         {.flag = "entry", .environment = "FAKE_SERVER_ENTRY", .kind = SettingKind::Endpoint, .help = "where it sends the calls that it makes itself"},
+        {.flag = "execution-log", .environment = "FAKE_SERVER_EXECUTION_LOG", .help = "file that keeps what it ran over a kill"},
         {.flag = "seed", .environment = "FAKE_SERVER_SEED", .kind = SettingKind::Integer, .fallback = "1", .minimum = 0, .maximum = 1e9, .help = "seed of work times and noise"},
     };
     auto settings = Support::readSettings({"fake-server", "A stand-in for a server that announces itself to its node.", ""}, specs, argumentCount, const_cast<const char**>(arguments));
     Support::setLogSource("fake-server/" + settings.endpoint("listen").text());
     Standins::FakeServerOptions options;
     options.listen = settings.endpoint("listen");
+    options.executionLog = settings.text("execution-log");
     options.announced = settings.optionalEndpoint("announce");
     options.nodeAdmin = settings.endpoint("node");
     options.service = settings.text("service");
