--- a/include/balsamreel/Membership/Swim.h
+++ b/include/balsamreel/Membership/Swim.h
@@ -1,6 +1,9 @@
 // Who is there: failure detection and dissemination in the manner of SWIM, without sockets or clocks.
 #pragma once
 
+#include "balsamreel/Membership/ByteBudget.h"
+#include "balsamreel/Membership/MemberTable.h"
+#include "balsamreel/Membership/NewsQueue.h"
 #include "balsamreel/Support/Clock.h"
 #include "balsamreel/Support/Random.h"
 #include "balsamreel/Wire/Messages.h"
@@ -15,13 +18,24 @@
 
 struct SwimOptions {
     Support::Duration pingInterval = std::chrono::seconds(1);
-    Support::Duration pingTimeout = std::chrono::milliseconds(300);
-    Support::Duration suspicionTimeout = std::chrono::seconds(4); ///< time to refute
+    Support::Duration pingTimeout = std::chrono::milliseconds(300); ///< until others are asked to ping
+    Support::Duration suspicionTimeout = std::chrono::seconds(4); ///< time to refute in a small table; grows with its logarithm
+    Support::Duration gossipInterval = std::chrono::milliseconds(200); ///< between datagrams of news, while there are any
     Support::Duration syncInterval = std::chrono::seconds(10);
     Support::Duration joinInterval = std::chrono::milliseconds(250); ///< between syncs until the table has settled
-    Support::Duration deadRetention = std::chrono::seconds(120); ///< so that old news can't bring a dead member back
+    Support::Duration deadPingInterval = std::chrono::seconds(20); ///< between pings to members taken for dead
+    Support::Duration deadRetention = std::chrono::hours(2); ///< longer than regions lose each other
+    Support::Duration leftRetention = std::chrono::minutes(10); ///< so that old news can't bring a member back that left
+    Support::Duration pauseThreshold = std::chrono::seconds(2); ///< a longer gap between ticks was a pause of this process
     unsigned indirectPings = 3;
-    unsigned retransmitFactor = 3; ///< each news is sent this many times log2 of the table's size
+    unsigned gossipFanout = 2;
+    unsigned retransmitFactor = 2; ///< each news is sent this many times log2 of the table's size
+    double newsBytesPerSecond = 800; ///< sent; on average as much is received
+    double newsBurstBytes = 1500;
+    double repairBytesPerSecond = 300; ///< digests and the records they ask for, sent
+    double repairBurstBytes = 1500;
+    double tableBytesPerSecond = 1400; ///< whole tables fetched and given, on average
+    double tableBurstBytes = 40'000;
 };
 
 /// A datagram to send.
@@ -37,10 +51,14 @@
     std::uint64_t incarnation = 0;
 };
 
-struct Member {
-    Wire::MemberRecord record;
-    Support::Instant stateSince;
-    std::uint64_t generation = 0; ///< of the configuration it last said it follows
+/// What the protocol has done, for metrics.
+struct SwimCounts {
+    std::uint64_t refutations = 0;
+    std::uint64_t pauses = 0; ///< of this process, seen by the gap between ticks
+    std::uint64_t putOff = 0; ///< datagrams not sent, or sent without news, since the budget was spent
+    std::uint64_t tableFetches = 0;
+    std::uint64_t tableRefusals = 0; ///< tables not given, since the budget was spent
+    std::uint64_t nameConflicts = 0; ///< records of a later start under this node's name at another address
 };
 
 /// One node's view of all members. Not thread-safe.
@@ -48,7 +66,7 @@
 public:
     Swim(SwimOptions, Wire::MemberRecord self, std::uint64_t seed);
 
-    /// Addresses to try while no member is known.
+    /// Addresses to try while no member is known, and now and then later.
     void setSeeds(std::vector<Support::Endpoint> seeds) { seeds_ = std::move(seeds); }
 
     /// What this node's servers are now; news only if it differs.
@@ -57,22 +75,44 @@
     /// Announces that this node leaves.
     void leave();
 
-    void setGeneration(std::uint64_t generation) { generation_ = generation; }
+    /// The configuration this node follows. A higher one is told to others at once.
+    void setGeneration(std::uint64_t);
 
     std::vector<Outgoing> tick(Support::Instant now, Support::HybridTime);
     std::vector<Outgoing> receive(Support::Instant now, const Support::Endpoint& from, const Wire::Message&, Support::HybridTime);
 
-    const std::map<std::string, Member>& members() const { return members_; }
+    /// When tick() has something to do next.
+    Support::Instant nextDue() const;
+
+    /// A node whose whole table shall be fetched; answer with onTable(). Nothing if none is wanted or the budget is spent.
+    std::optional<Support::Endpoint> takeTableRequest(Support::Instant now);
+    void onTable(Support::Instant now, const std::vector<Wire::MemberRecord>&, std::size_t bytes);
+
+    /// The whole table for another node; nothing if the budget is spent.
+    std::optional<std::vector<Wire::MemberRecord>> giveTable(Support::Instant now);
+    void spendTable(std::size_t bytes) { tableBudget_.spend(static_cast<double>(bytes)); }
+
+    const std::map<std::string, Member>& members() const { return table_.members(); }
     const Wire::MemberRecord& self() const { return self_; }
 
-    /// Raised with each change of the table.
+    /// Raised when who is live, or a live member's record, changes.
     std::uint64_t revision() const { return revision_; }
     std::vector<MemberChange> takeChanges();
+    const SwimCounts& counts() const { return counts_; }
+    unsigned health() const { return health_; }
+    std::size_t newsCount() const { return contentNews_.size() + stateNews_.size(); }
+
+    /// The same on all nodes that hold the same live members.
+    std::uint32_t tableHash() const;
 
     /// A live member that follows a higher generation than this node, if one is known.
     std::optional<Wire::MemberRecord> newerPeer() const;
 
 private:
+    enum class Urgency : std::uint8_t { Detection, ///< pings and their answers
+        News,
+        Repair ///< digests and what they ask for
+    };
     struct Probe {
         std::string target;
         Support::Instant sentAt;
@@ -83,47 +123,83 @@
         std::uint64_t sequence = 0; ///< the requester's
         Support::Instant sentAt;
     };
-    struct News {
-        std::string node;
-        unsigned sentCount = 0;
-    };
+    struct Turn; ///< one call of tick() or receive()
 
-    Wire::Message makeMessage(Wire::Payload, Support::HybridTime);
-    void fillUpdates(Wire::Message&);
-    void merge(Support::Instant now, const Wire::MemberRecord&);
-    void refute();
+    Wire::Digest makeDigest(bool isReply) const;
+    unsigned retransmits() const;
+    void addSubject(Wire::Message&, const Member& receiver) const;
+    std::size_t fillContent(Wire::Message&, std::size_t room);
+    std::size_t fillStates(Wire::Message&, std::size_t room);
+    void fillNews(Wire::Message&, std::size_t room);
+    bool send(Turn&, Urgency, const Support::Endpoint&, Wire::Payload, const Member* receiver);
+    bool push(Turn&, Urgency, const Support::Endpoint&, Wire::Message);
+
+    void spreadContent(const std::string& node);
+    void spreadState(const std::string& node);
+    void changeSelf(bool isContent);
     void changeState(Support::Instant now, Member&, Wire::MemberState);
-    void spread(const std::string& node);
+    void merge(Support::Instant now, const Wire::MemberRecord&);
+    void mergeState(Support::Instant now, const Wire::StateUpdate&);
+    void mergeSelf(const Wire::MemberRecord&);
+    void replace(Support::Instant now, Member& known, const Wire::MemberRecord&);
+    void doubt(Member&);
+
+    Support::Duration suspicionTimeout() const;
+    void detectPause(Support::Instant now);
+    void raiseHealth();
+    void tickProbes(Turn&);
+    void tickSuspicions(Turn&);
+    bool checkAgain(Turn&, Member&, std::size_t checkedMembers);
+    void tickGone(Support::Instant now);
+    void tickSync(Turn&);
+    void tickDeadPings(Turn&);
+    void tickGossip(Turn&);
+    void startProbes(Turn&);
+    void askSeed(Turn&);
+    void startProbe(Turn&, const Member&);
     std::optional<std::string> nextTarget();
-    std::vector<const Member*> randomMembers(std::size_t count, const std::string& excluded);
+    Member* nextDoubted();
 
-    void tickProbes(Support::Instant now, Support::HybridTime, std::vector<Outgoing>&);
-    void tickSuspicions(Support::Instant now);
-    void tickSync(Support::Instant now, Support::HybridTime, std::vector<Outgoing>&);
-    void startProbe(Support::Instant now, Support::HybridTime, std::vector<Outgoing>&);
-
-    void onPing(const Support::Endpoint& from, const Wire::Ping&, Support::HybridTime, std::vector<Outgoing>&);
-    void onAck(const Wire::Ack&, Support::HybridTime, std::vector<Outgoing>&);
-    void onPingRequest(Support::Instant now, const Support::Endpoint& from, const Wire::PingRequest&, Support::HybridTime, std::vector<Outgoing>&);
-    void onDigest(const Support::Endpoint& from, const Wire::Digest&, Support::HybridTime, std::vector<Outgoing>&);
-    Wire::Digest makeDigest(bool isReply) const;
+    void onPing(Turn&, const Wire::Ping&);
+    void onAck(Turn&, const Wire::Ack&);
+    void onPingRequest(Turn&, const Wire::PingRequest&);
+    void onDigest(Turn&, const Wire::Digest&);
+    void sendRecords(Turn&, const Wire::Digest&);
 
     SwimOptions options_;
     Wire::MemberRecord self_;
+    std::uint32_t selfFingerprint_;
     Support::Random random_;
     std::vector<Support::Endpoint> seeds_;
     std::uint64_t generation_ = 0;
-    std::map<std::string, Member> members_; ///< without this node itself
-    std::deque<News> news_;
+    std::uint64_t highestGeneration_ = 0; ///< that any member has said it follows
+    unsigned generationRounds_ = 0; ///< datagrams still to be sent to tell a new generation
+    MemberTable table_;
+    NewsQueue contentNews_; ///< members whose whole records are told
+    NewsQueue stateNews_; ///< members of which only version and state are told
     std::vector<MemberChange> changes_;
     std::uint64_t revision_ = 1;
+    SwimCounts counts_;
+
+    ByteBudget newsBudget_;
+    ByteBudget repairBudget_;
+    ByteBudget tableBudget_;
+    std::optional<Support::Endpoint> wantedTable_;
+    bool hasTable_ = false;
 
     std::uint64_t nextSequence_ = 1;
     std::map<std::uint64_t, Probe> probes_;
     std::map<std::uint64_t, Relay> relays_;
     std::vector<std::string> probeOrder_;
+    std::deque<std::string> doubted_;
+    unsigned health_ = 0; ///< how far to distrust own judgement: 0 is well
+    std::optional<Support::Instant> lastTick_;
     Support::Instant nextPing_;
     Support::Instant nextSync_;
+    Support::Instant nextGossip_;
+    Support::Instant nextDeadPing_;
+    Support::Instant nextGoneScan_;
+    Support::Instant healingUntil_; ///< dead members have come back, so others may have
     unsigned syncsLeftToJoin_ = joinSyncs;
 
     static constexpr unsigned joinSyncs = 12;
--- a/include/balsamreel/Node/Context.h
+++ b/include/balsamreel/Node/Context.h
@@ -88,7 +88,7 @@
     }
 
     NodeSettings settings;
-    std::uint64_t incarnation; ///< wall micros at the start
+    std::atomic<std::uint64_t> incarnation; ///< wall micros at the start; raised if an earlier start had a later one
     std::uint64_t attemptIncarnation; ///< random, so that no two starts share attempt ids
     std::atomic<std::uint64_t> nextAttempt{1};
     Support::Timeline timeline;
--- a/include/balsamreel/Node/Gossip.h
+++ b/include/balsamreel/Node/Gossip.h
@@ -27,6 +27,15 @@
     /// Tells the others that this node leaves.
     void leave();
 
+    /// Tells the others at once what this node's servers are now.
+    void refresh();
+
+    /// Brings the gauges of membership up to date.
+    void setGauges() const;
+
+    /// The whole table in compressed form; nothing if too many have been given lately.
+    std::optional<std::string> giveTable();
+
     std::vector<Wire::MemberRecord> members() const; ///< with this node itself
     std::optional<Wire::MemberRecord> newerPeer() const;
 
@@ -35,11 +44,14 @@
 
 private:
     void run();
+    Support::Duration untilDue() const;
     void receiveAll(Support::Duration wait);
     void tick(Support::Instant now);
     void send(const std::vector<Membership::Outgoing>&);
     void publish(Support::Instant now);
     void recordChanges();
+    void fetchTable();
+    void fetchTableFrom(const Support::Endpoint&);
 
     Context& context_;
     Guard& guard_;
@@ -49,6 +61,9 @@
     Poco::Net::DatagramSocket socket_;
     std::atomic<bool> isEnding_{false};
     std::thread thread_;
+    std::thread fetcher_; ///< fetches a whole table now and then
+    std::atomic<bool> isFetching_{false};
+    Support::Instant nextPublish_;
 };
 
 } // namespace balsamreel::Node
--- a/include/balsamreel/Wire/Bounded.h
+++ b/include/balsamreel/Wire/Bounded.h
@@ -4,6 +4,7 @@
 #include <cereal/cereal.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -19,11 +20,12 @@
     }
 };
 
+/// Reads or writes a size in two bytes; limits are at most 65,535.
 template <typename Archive>
 std::size_t serializeSize(Archive& archive, std::size_t size, std::size_t limit)
 {
-    auto count = static_cast<cereal::size_type>(size);
-    archive(cereal::make_size_tag(count));
+    auto count = static_cast<std::uint16_t>(size);
+    archive(count);
     if (count > limit)
         throw SizeLimitExceeded();
     return static_cast<std::size_t>(count);
--- a/include/balsamreel/Wire/Messages.h
+++ b/include/balsamreel/Wire/Messages.h
@@ -16,14 +16,18 @@
 
 namespace balsamreel::Wire {
 
-constexpr std::uint8_t protocolVersion = 1;
+constexpr std::uint8_t protocolVersion = 2;
 
 /// Datagrams stay below the usual path limit, so that they are not fragmented.
 constexpr std::size_t maximumDatagramBytes = 1400;
+/// What IPv4 and UDP add to a datagram.
+constexpr std::size_t datagramHeaderBytes = 28;
 constexpr std::size_t maximumNameBytes = 64;
 constexpr std::size_t maximumHostBytes = 45;
 constexpr std::size_t maximumRecordsPerMessage = 64;
+constexpr std::size_t maximumStatesPerMessage = 128;
 constexpr std::size_t maximumServersPerMember = 4;
+constexpr std::size_t maximumMembers = 8192; ///< in a table fetched at once
 
 enum class MemberState : std::uint8_t { Alive,
     Suspect,
@@ -64,6 +68,16 @@
     bool operator==(const MemberRecord&) const = default;
 };
 
+/// A change of a member's state alone. It holds only where the fingerprint is that of the record already known.
+struct StateUpdate {
+    std::uint32_t node = 0; ///< hash of the name
+    std::uint32_t fingerprint = 0; ///< of the record without version and state
+    std::uint32_t version = 0;
+    MemberState state = MemberState::Alive;
+
+    static constexpr std::size_t encodedBytes = 13;
+};
+
 /// Said with every message: who sends it and what configuration it follows.
 struct Envelope {
     std::string sender;
@@ -91,6 +105,7 @@
 struct Digest {
     static constexpr std::size_t bucketCount = 64;
     std::array<std::uint32_t, bucketCount> buckets{};
+    std::uint32_t liveCount = 0; ///< members it sees alive
     bool isReply = false;
 };
 
@@ -104,6 +119,7 @@
     Envelope envelope;
     Payload payload;
     std::vector<MemberRecord> updates;
+    std::vector<StateUpdate> states;
 };
 
 /// Encodes a message.
@@ -112,6 +128,19 @@
 /// The encoded size of one record, for filling a datagram.
 std::size_t encodedSize(const MemberRecord&);
 
+/// Hash of a name, the same on every node.
+std::uint32_t nameHash(const std::string& name);
+
+/// Hash of all of a record but its version and state.
+std::uint32_t fingerprint(const MemberRecord&);
+
+/// A whole table in compressed form, for nodes that join or differ in much.
+std::string encodeTable(const std::vector<MemberRecord>&);
+
+/// Errors: WireError. The compressed form may unfold to at most maximumTableBytes.
+std::error_code decodeTable(const std::string&, std::vector<MemberRecord>&);
+constexpr std::size_t maximumTableBytes = 4 * 1024 * 1024;
+
 /// Decodes a datagram. Errors: WireError.
 std::error_code decode(std::span<const std::uint8_t>, Message&);
 
--- /dev/null
+++ b/lib/Membership/ByteBudget.cpp
@@ -0,0 +1,22 @@
+#include "balsamreel/Membership/ByteBudget.h"
+
+#include <algorithm>
+
+namespace balsamreel::Membership {
+
+void ByteBudget::refill(Support::Instant now)
+{
+    if (now <= refilled_)
+        return;
+    double seconds = std::chrono::duration<double>(now - refilled_).count();
+    refilled_ = now;
+    level_ = std::min(burst_, level_ + rate_ * seconds);
+}
+
+void ByteBudget::spend(double bytes)
+{
+    // Bounded, so that a flood from outside can't silence this node for long.
+    level_ = std::max(-burst_, level_ - bytes);
+}
+
+} // namespace balsamreel::Membership
--- a/lib/Membership/Swim.cpp
+++ b/lib/Membership/Swim.cpp
@@ -2,29 +2,42 @@
 
 #include <algorithm>
 #include <bit>
-#include <functional>
+#include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace balsamreel::Membership {
 
+using Support::Duration;
 using Support::Endpoint;
 using Support::HybridTime;
 using Support::Instant;
 using Wire::MemberRecord;
 using Wire::MemberState;
 using Wire::Message;
+using Wire::StateUpdate;
 
 namespace {
 
-// Room left in a datagram for the archive's own headers.
-constexpr std::size_t updateRoomBytes = 600;
-constexpr std::size_t recordsRoomBytes = 1150;
-constexpr std::size_t maximumSyncDatagrams = 8;
-
-bool isLive(MemberState state)
-{
-    return state == MemberState::Alive || state == MemberState::Suspect;
-}
+// Room for news in a datagram that carries something else, and in one that carries nothing else.
+constexpr std::size_t ridingRoomBytes = 600;
+constexpr std::size_t newsRoomBytes = 1100;
+// Kept free of records, so that a storm of joins can't hold back news of failures.
+constexpr std::size_t statesRoomBytes = 150;
+constexpr std::size_t leastNewsRoomBytes = 250;
+constexpr std::size_t maximumSyncDatagrams = 2;
+// With more buckets that differ, one whole table in compressed form is cheaper than datagrams of records.
+constexpr std::ptrdiff_t fetchedBuckets = 12;
+constexpr unsigned maximumHealth = 4;
+// Tables up to two to this power of members get the plain suspicion timeout.
+constexpr double smallTableLog2 = 5;
+constexpr std::size_t doubtsPerInterval = 2;
+constexpr std::size_t maximumCheckedMembers = 2;
+constexpr unsigned checksPerMember = 3;
+constexpr Duration healingInterval = std::chrono::milliseconds(200);
+constexpr Duration healingTime = std::chrono::seconds(5);
+constexpr Duration goneScanInterval = std::chrono::seconds(5);
+constexpr Duration suspicionScanInterval = std::chrono::milliseconds(250);
 
 // Orders records of one member: a later start, then a later version, then the worse state.
 bool isNewer(const MemberRecord& candidate, const MemberRecord& known)
@@ -33,43 +46,32 @@
     return rank(candidate) > rank(known);
 }
 
-std::uint32_t mix(std::uint64_t value)
+StateUpdate stateOf(const MemberRecord& record, std::uint32_t fingerprint)
 {
-    // Finalizer of splitmix64, so that sums of hashes differ where records differ.
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return static_cast<std::uint32_t>(value ^ (value >> 31U));
-}
-
-// FNV-1a: the same on every node, unlike std::hash.
-std::uint64_t hashName(const std::string& name)
-{
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (char letter : name)
-        hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001b3ULL;
-    return hash;
-}
-
-std::size_t bucketOf(const std::string& node)
-{
-    return mix(hashName(node)) % Wire::Digest::bucketCount;
-}
-
-std::uint32_t hashRecord(const MemberRecord& record)
-{
-    // Suspicion is local and passing, so it is left out: it would make all digests differ.
-    bool isGone = !isLive(record.state);
-    return mix(hashName(record.node) ^ mix(record.incarnation) ^ (static_cast<std::uint64_t>(record.version) << 33U) ^ (isGone ? 1U : 0U));
+    return {Wire::nameHash(record.node), fingerprint, record.version, record.state};
 }
 
 } // namespace
 
+/// One call of tick() or receive().
+struct Swim::Turn {
+    Instant now;
+    HybridTime time;
+    Endpoint from; ///< of the message that is answered
+    std::string sender;
+    std::vector<Outgoing> outgoing;
+};
+
 Swim::Swim(SwimOptions options, MemberRecord self, std::uint64_t seed)
     : options_(options)
     , self_(std::move(self))
+    , selfFingerprint_(Wire::fingerprint(self_))
     , random_(seed)
+    , newsBudget_(options.newsBytesPerSecond, options.newsBurstBytes)
+    , repairBudget_(options.repairBytesPerSecond, options.repairBurstBytes)
+    , tableBudget_(options.tableBytesPerSecond, options.tableBurstBytes)
 {
-    spread(self_.node);
+    spreadContent(self_.node);
 }
 
 void Swim::setServers(std::vector<Wire::ServerRecord> servers)
@@ -77,9 +79,7 @@
     if (servers == self_.servers)
         return;
     self_.servers = std::move(servers);
-    ++self_.version;
-    ++revision_;
-    spread(self_.node);
+    changeSelf(true);
 }
 
 void Swim::leave()
@@ -87,9 +87,14 @@
     if (self_.state == MemberState::Left)
         return;
     self_.state = MemberState::Left;
-    ++self_.version;
-    ++revision_;
-    spread(self_.node);
+    changeSelf(false);
+}
+
+void Swim::setGeneration(std::uint64_t generation)
+{
+    if (generation > generation_ && generation_ > 0)
+        generationRounds_ = retransmits();
+    generation_ = generation;
 }
 
 std::vector<MemberChange> Swim::takeChanges()
@@ -99,8 +104,10 @@
 
 std::optional<MemberRecord> Swim::newerPeer() const
 {
+    if (highestGeneration_ <= generation_)
+        return std::nullopt;
     const Member* best = nullptr;
-    for (const auto& [node, member] : members_) {
+    for (const auto& [node, member] : members()) {
         if (!isLive(member.record.state) || member.generation <= generation_)
             continue;
         if (!best || member.generation > best->generation)
@@ -109,96 +116,241 @@
     return best ? std::optional(best->record) : std::nullopt;
 }
 
-void Swim::spread(const std::string& node)
+// News
+
+unsigned Swim::retransmits() const
 {
-    std::erase_if(news_, [&](const News& news) { return news.node == node; });
-    news_.push_front({node, 0});
+    return options_.retransmitFactor * static_cast<unsigned>(std::bit_width(members().size() + 1));
 }
 
-void Swim::fillUpdates(Message& message)
+void Swim::spreadContent(const std::string& node)
 {
-    auto limit = options_.retransmitFactor * static_cast<unsigned>(std::bit_width(members_.size() + 1));
-    std::size_t room = updateRoomBytes;
-    std::deque<News> sent;
-    while (!news_.empty()) {
-        auto& news = news_.front();
-        auto found = members_.find(news.node);
-        if (news.node != self_.node && found == members_.end()) {
-            news_.pop_front();
-            continue;
-        }
-        const auto& record = news.node == self_.node ? self_ : found->second.record;
+    stateNews_.erase(node);
+    contentNews_.push(node);
+}
+
+void Swim::spreadState(const std::string& node)
+{
+    // Where the whole record is news it tells the state too.
+    contentNews_.contains(node) ? contentNews_.push(node) : stateNews_.push(node);
+}
+
+void Swim::changeSelf(bool isContent)
+{
+    ++self_.version;
+    ++revision_;
+    selfFingerprint_ = Wire::fingerprint(self_);
+    isContent ? spreadContent(self_.node) : spreadState(self_.node);
+}
+
+std::size_t Swim::fillContent(Message& message, std::size_t room)
+{
+    auto kept = stateNews_.empty() ? 0 : statesRoomBytes;
+    contentNews_.take(retransmits(), [&](const std::string& node) {
+        const auto* member = table_.find(node);
+        if (node != self_.node && !member)
+            return NewsQueue::Take::Dropped;
+        const auto& record = member ? member->record : self_;
         auto size = Wire::encodedSize(record);
-        if (size > room)
-            break;
+        if (size + kept > room || message.updates.size() == Wire::maximumRecordsPerMessage)
+            return NewsQueue::Take::Full;
         room -= size;
         message.updates.push_back(record);
-        if (++news.sentCount < limit)
-            sent.push_back(std::move(news));
-        news_.pop_front();
+        return NewsQueue::Take::Sent;
+    });
+    return room;
+}
+
+std::size_t Swim::fillStates(Message& message, std::size_t room)
+{
+    stateNews_.take(retransmits(), [&](const std::string& node) {
+        const auto* member = table_.find(node);
+        if (node != self_.node && !member)
+            return NewsQueue::Take::Dropped;
+        if (room < StateUpdate::encodedBytes || message.states.size() == Wire::maximumStatesPerMessage)
+            return NewsQueue::Take::Full;
+        room -= StateUpdate::encodedBytes;
+        message.states.push_back(member ? stateOf(member->record, member->fingerprint) : stateOf(self_, selfFingerprint_));
+        return NewsQueue::Take::Sent;
+    });
+    return room;
+}
+
+void Swim::fillNews(Message& message, std::size_t room)
+{
+    // News that is taken from its queue counts as sent, so the budget is asked first.
+    room = std::min(room, static_cast<std::size_t>(std::max(0.0, newsBudget_.level())));
+    if (newsCount() == 0)
+        return;
+    if (room < leastNewsRoomBytes) {
+        ++counts_.putOff;
+        return;
     }
-    // News sent least often goes first the next time.
-    for (auto& news : sent)
-        news_.push_back(std::move(news));
+    auto left = fillStates(message, fillContent(message, room));
+    newsBudget_.spend(static_cast<double>(room - left));
 }
 
-Message Swim::makeMessage(Wire::Payload payload, HybridTime time)
+void Swim::addSubject(Message& message, const Member& receiver) const
 {
-    Message message{{self_.node, time, generation_}, std::move(payload), {}};
-    fillUpdates(message);
-    return message;
+    // A member that is not taken for alive, here or by another, is told so with what it is sent: only it can refute that.
+    auto claim = stateOf(receiver.record, receiver.fingerprint);
+    if (receiver.isDoubted && claim.state == MemberState::Alive)
+        claim.state = MemberState::Dead;
+    if (claim.state != MemberState::Alive)
+        message.states.push_back(claim);
 }
 
+bool Swim::push(Turn& turn, Urgency urgency, const Endpoint& to, Message message)
+{
+    // Pings and their answers are few and small, and silence would look like a failure, so they are never held back.
+    if (urgency == Urgency::Repair) {
+        auto bytes = static_cast<double>(Wire::encode(message).size() + Wire::datagramHeaderBytes);
+        if (!repairBudget_.allows(bytes)) {
+            ++counts_.putOff;
+            return false;
+        }
+        repairBudget_.spend(bytes);
+    }
+    turn.outgoing.push_back({to, std::move(message)});
+    return true;
+}
+
+bool Swim::send(Turn& turn, Urgency urgency, const Endpoint& to, Wire::Payload payload, const Member* receiver)
+{
+    Message message{{self_.node, turn.time, generation_}, std::move(payload), {}, {}};
+    if (receiver)
+        addSubject(message, *receiver);
+    if (std::holds_alternative<Wire::Ack>(message.payload))
+        message.states.push_back(stateOf(self_, selfFingerprint_));
+    if (urgency == Urgency::News)
+        newsBudget_.spend(static_cast<double>(Wire::encode(message).size() + Wire::datagramHeaderBytes));
+    if (urgency != Urgency::Repair || members().empty())
+        fillNews(message, urgency == Urgency::News ? newsRoomBytes : ridingRoomBytes);
+    return push(turn, urgency, to, std::move(message));
+}
+
+// Merging
+
 void Swim::changeState(Instant now, Member& member, MemberState state)
 {
-    member.record.state = state;
-    member.stateSince = now;
-    ++revision_;
+    bool wasLive = isLive(member.record.state);
+    table_.setState(now, member, state);
+    if (wasLive != isLive(state))
+        ++revision_;
     changes_.push_back({member.record.node, state, member.record.incarnation});
-    spread(member.record.node);
+    spreadState(member.record.node);
 }
 
-void Swim::refute()
+void Swim::raiseHealth()
 {
-    ++self_.version;
-    ++revision_;
-    spread(self_.node);
+    health_ = std::min(health_ + 1, maximumHealth);
+}
+
+void Swim::mergeSelf(const MemberRecord& record)
+{
+    if (record.incarnation > self_.incarnation && isLive(record.state)) {
+        if (record.peer != self_.peer) {
+            ++counts_.nameConflicts;
+            return;
+        }
+        // An earlier start of this node whose clock ran ahead: only a later incarnation replaces its record.
+        self_.incarnation = record.incarnation + 1;
+        changeSelf(true);
+        return;
+    }
+    if (record.incarnation != self_.incarnation || record.version < self_.version || record.state == self_.state)
+        return;
+    self_.version = record.version;
+    changeSelf(false);
+    ++counts_.refutations;
+    raiseHealth();
+}
+
+void Swim::doubt(Member& member)
+{
+    if (member.isDoubted)
+        return;
+    member.isDoubted = true;
+    doubted_.push_back(member.record.node);
+}
+
+void Swim::replace(Instant now, Member& known, const MemberRecord& record)
+{
+    MemberRecord old = known.record;
+    auto oldFingerprint = known.fingerprint;
+    auto& member = table_.put(now, record);
+    bool isContent = member.fingerprint != oldFingerprint;
+    if (isContent || isLive(old.state) != isLive(record.state))
+        ++revision_;
+    if (old.state == MemberState::Dead && record.state == MemberState::Alive && old.incarnation == record.incarnation)
+        healingUntil_ = now + healingTime;
+    if (old.state != record.state || old.incarnation != record.incarnation)
+        changes_.push_back({record.node, record.state, record.incarnation});
+    isContent ? spreadContent(record.node) : spreadState(record.node);
 }
 
 void Swim::merge(Instant now, const MemberRecord& record)
 {
-    if (record.node == self_.node) {
-        bool isAboutThisStart = record.incarnation == self_.incarnation;
-        if (!isAboutThisStart || record.version < self_.version || record == self_)
+    if (record.node == self_.node)
+        return mergeSelf(record);
+    auto* known = table_.find(record.node);
+    if (!known) {
+        // Records of members that are gone are not taken up, or nodes would hand them to each other for good.
+        if (!isLive(record.state))
             return;
-        self_.version = record.version;
-        refute();
+        table_.put(now, record);
+        ++revision_;
+        changes_.push_back({record.node, record.state, record.incarnation});
+        spreadContent(record.node);
         return;
     }
-    auto found = members_.find(record.node);
-    if (found == members_.end()) {
-        auto& member = members_[record.node];
-        member.record = record;
-        changeState(now, member, record.state);
+    if (!isNewer(record, known->record))
         return;
+    bool isHearsay = record.state == MemberState::Dead && isLive(known->record.state);
+    if (!isHearsay)
+        return replace(now, *known, record);
+    // Nobody is taken for dead on another's word: the other may have been cut off from the member, or from us. So it is
+    // pinged from here too, and has time to refute.
+    if (record.incarnation == known->record.incarnation && record.version == known->record.version)
+        return doubt(*known);
+    auto suspect = record;
+    suspect.state = MemberState::Suspect;
+    replace(now, *known, suspect);
+}
+
+void Swim::mergeState(Instant now, const StateUpdate& update)
+{
+    if (update.node == Wire::nameHash(self_.node)) {
+        if (update.fingerprint != selfFingerprint_)
+            return;
+        auto record = self_;
+        record.version = update.version;
+        record.state = update.state;
+        return mergeSelf(record);
     }
-    auto& member = found->second;
-    if (!isNewer(record, member.record))
+    auto* known = table_.find(update.node);
+    if (!known || known->fingerprint != update.fingerprint)
         return;
-    auto oldState = member.record.state;
-    bool isRestart = record.incarnation != member.record.incarnation;
-    member.record = record;
-    ++revision_;
-    spread(record.node);
-    if (oldState != record.state || isRestart)
-        changeState(now, member, record.state);
+    auto record = known->record;
+    record.version = update.version;
+    record.state = update.state;
+    merge(now, record);
+}
+
+// Detection
+
+Duration Swim::suspicionTimeout() const
+{
+    // News takes a time that grows with the logarithm of the table, and a node that is itself in trouble judges more slowly.
+    double growth = std::max(1.0, std::log2(static_cast<double>(table_.liveCount() + 1)) / smallTableLog2);
+    return std::chrono::duration_cast<Duration>(options_.suspicionTimeout * growth * (1 + health_));
 }
 
 std::optional<std::string> Swim::nextTarget()
 {
     while (true) {
         if (probeOrder_.empty()) {
-            for (const auto& [node, member] : members_) {
+            for (const auto& [node, member] : members()) {
                 if (isLive(member.record.state))
                     probeOrder_.push_back(node);
             }
@@ -208,194 +360,395 @@
         }
         auto node = std::move(probeOrder_.back());
         probeOrder_.pop_back();
-        auto found = members_.find(node);
-        if (found != members_.end() && isLive(found->second.record.state))
+        const auto* member = table_.find(node);
+        if (member && isLive(member->record.state))
             return node;
     }
 }
 
-std::vector<const Member*> Swim::randomMembers(std::size_t count, const std::string& excluded)
+Member* Swim::nextDoubted()
 {
-    std::vector<const Member*> candidates;
-    for (const auto& [node, member] : members_) {
-        if (node != excluded && member.record.state == MemberState::Alive)
-            candidates.push_back(&member);
+    while (!doubted_.empty()) {
+        auto node = std::move(doubted_.front());
+        doubted_.pop_front();
+        auto* member = table_.find(node);
+        if (member && member->isDoubted && isLive(member->record.state))
+            return member;
     }
-    std::ranges::shuffle(candidates, random_.engine());
-    candidates.resize(std::min(count, candidates.size()));
-    return candidates;
+    return nullptr;
 }
 
-void Swim::startProbe(Instant now, HybridTime time, std::vector<Outgoing>& outgoing)
+void Swim::startProbe(Turn& turn, const Member& target)
 {
-    auto target = nextTarget();
-    if (!target) {
-        for (const auto& seed : seeds_) {
-            if (seed != self_.peer)
-                outgoing.push_back({seed, makeMessage(makeDigest(false), time)});
-        }
+    auto sequence = nextSequence_++;
+    probes_[sequence] = {target.record.node, turn.now, false};
+    send(turn, Urgency::Detection, target.record.peer, Wire::Ping{sequence, target.record.node}, &target);
+}
+
+void Swim::startProbes(Turn& turn)
+{
+    if (turn.now < nextPing_)
         return;
+    nextPing_ = turn.now + options_.pingInterval;
+    for (std::size_t count = 0; count < doubtsPerInterval; ++count) {
+        if (auto* member = nextDoubted()) {
+            startProbe(turn, *member);
+            member->isDoubted = false;
+        }
     }
-    auto sequence = nextSequence_++;
-    probes_[sequence] = {*target, now, false};
-    outgoing.push_back({members_.at(*target).record.peer, makeMessage(Wire::Ping{sequence, *target}, time)});
+    if (auto target = nextTarget())
+        return startProbe(turn, *table_.find(*target));
+}
+
+void Swim::askSeed(Turn& turn)
+{
+    if (seeds_.empty())
+        return;
+    const auto& seed = seeds_[random_.below(seeds_.size())];
+    if (seed != self_.peer)
+        send(turn, Urgency::Repair, seed, makeDigest(false), nullptr);
 }
 
-void Swim::tickProbes(Instant now, HybridTime time, std::vector<Outgoing>& outgoing)
+void Swim::tickProbes(Turn& turn)
 {
     for (auto current = probes_.begin(); current != probes_.end();) {
         auto& [sequence, probe] = *current;
-        if (!probe.isIndirect && now - probe.sentAt >= options_.pingTimeout) {
+        if (!probe.isIndirect && turn.now - probe.sentAt >= options_.pingTimeout) {
             probe.isIndirect = true;
-            for (const auto* helper : randomMembers(options_.indirectPings, probe.target))
-                outgoing.push_back({helper->record.peer, makeMessage(Wire::PingRequest{sequence, probe.target}, time)});
+            for (const auto* helper : table_.randomLive(random_, options_.indirectPings, probe.target))
+                send(turn, Urgency::Detection, helper->record.peer, Wire::PingRequest{sequence, probe.target}, helper);
         }
-        if (now - probe.sentAt < options_.pingInterval) {
+        if (turn.now - probe.sentAt < options_.pingInterval * (1 + health_)) {
             ++current;
             continue;
         }
-        auto found = members_.find(probe.target);
-        if (found != members_.end() && found->second.record.state == MemberState::Alive)
-            changeState(now, found->second, MemberState::Suspect);
+        raiseHealth();
+        auto* member = table_.find(probe.target);
+        if (member && member->record.state == MemberState::Alive) {
+            changeState(turn.now, *member, MemberState::Suspect);
+            doubt(*member);
+        }
         current = probes_.erase(current);
     }
-    std::erase_if(relays_, [&](const auto& entry) { return now - entry.second.sentAt >= options_.pingInterval; });
+    std::erase_if(relays_, [&](const auto& entry) { return turn.now - entry.second.sentAt >= options_.pingInterval; });
 }
 
-void Swim::tickSuspicions(Instant now)
+bool Swim::checkAgain(Turn& turn, Member& member, std::size_t checkedMembers)
 {
-    for (auto& [node, member] : members_) {
-        if (member.record.state == MemberState::Suspect && now - member.stateSince >= options_.suspicionTimeout)
-            changeState(now, member, MemberState::Dead);
-    }
-    std::erase_if(members_, [&](const auto& entry) {
-        const auto& member = entry.second;
-        return !isLive(member.record.state) && now - member.stateSince >= options_.deadRetention;
-    });
+    // A refutation may have been lost on its way here, so the member itself is asked before it is taken for dead. Where
+    // many are suspected at once, something large has failed, and there is no budget to ask all.
+    bool isFirst = member.checks == 0;
+    if (member.checks == checksPerMember || (isFirst && checkedMembers >= maximumCheckedMembers))
+        return false;
+    ++member.checks;
+    member.stateSince += options_.pingTimeout;
+    send(turn, Urgency::Detection, member.record.peer, Wire::Ping{nextSequence_++, member.record.node}, &member);
+    return true;
 }
 
-void Swim::tickSync(Instant now, HybridTime time, std::vector<Outgoing>& outgoing)
+void Swim::tickSuspicions(Turn& turn)
 {
-    if (now < nextSync_)
+    if (table_.suspects().empty())
         return;
-    nextSync_ = now + (syncsLeftToJoin_ > 0 ? options_.joinInterval : options_.syncInterval);
-    if (syncsLeftToJoin_ > 0 && !members_.empty())
-        --syncsLeftToJoin_;
-    for (const auto* member : randomMembers(1, self_.node))
-        outgoing.push_back({member->record.peer, makeMessage(makeDigest(false), time)});
+    auto timeout = suspicionTimeout();
+    auto suspects = table_.suspects();
+    auto checked = static_cast<std::size_t>(std::ranges::count_if(suspects, [&](const auto& node) { return table_.find(node)->checks > 0; }));
+    for (const auto& node : suspects) {
+        auto* member = table_.find(node);
+        if (turn.now - member->stateSince < timeout)
+            continue;
+        bool wasChecked = member->checks > 0;
+        if (!checkAgain(turn, *member, checked))
+            changeState(turn.now, *member, MemberState::Dead);
+        else if (!wasChecked)
+            ++checked;
+    }
 }
 
-std::vector<Outgoing> Swim::tick(Instant now, HybridTime time)
+void Swim::tickGone(Instant now)
 {
-    std::vector<Outgoing> outgoing;
-    tickProbes(now, time, outgoing);
-    tickSuspicions(now);
-    tickSync(now, time, outgoing);
-    if (now >= nextPing_) {
-        nextPing_ = now + options_.pingInterval;
-        startProbe(now, time, outgoing);
+    if (now < nextGoneScan_)
+        return;
+    nextGoneScan_ = now + goneScanInterval;
+    auto gone = table_.gone();
+    for (const auto& node : gone) {
+        const auto* member = table_.find(node);
+        auto retention = member->record.state == MemberState::Left ? options_.leftRetention : options_.deadRetention;
+        if (now - member->stateSince >= retention)
+            table_.erase(node);
     }
-    return outgoing;
 }
 
+void Swim::detectPause(Instant now)
+{
+    bool wasPaused = lastTick_ && now - *lastTick_ >= options_.pauseThreshold;
+    lastTick_ = now;
+    if (!wasPaused)
+        return;
+    // Answers and refutations that came meanwhile are unread or lost, so no silence before now counts against anyone.
+    ++counts_.pauses;
+    health_ = maximumHealth;
+    probes_.clear();
+    relays_.clear();
+    auto suspects = table_.suspects();
+    for (const auto& node : suspects)
+        table_.find(node)->stateSince = now;
+    nextSync_ = now;
+}
+
+// Repair
+
 Wire::Digest Swim::makeDigest(bool isReply) const
 {
     Wire::Digest digest;
     digest.isReply = isReply;
-    digest.buckets[bucketOf(self_.node)] ^= hashRecord(self_);
-    for (const auto& [node, member] : members_)
-        digest.buckets[bucketOf(node)] ^= hashRecord(member.record);
+    digest.buckets = table_.buckets();
+    digest.liveCount = static_cast<std::uint32_t>(table_.liveCount());
+    if (isLive(self_.state))
+        digest.buckets[MemberTable::bucketOf(self_.node)] ^= MemberTable::hashOf(self_);
     return digest;
 }
 
-void Swim::onDigest(const Endpoint& from, const Wire::Digest& digest, HybridTime time, std::vector<Outgoing>& outgoing)
+std::uint32_t Swim::tableHash() const
 {
-    auto own = makeDigest(true);
-    if (own.buckets == digest.buckets)
+    auto digest = makeDigest(false);
+    constexpr std::uint32_t multiplier = 16'777'619;
+    std::uint32_t hash = 0;
+    for (auto bucket : digest.buckets)
+        hash = (hash ^ bucket) * multiplier;
+    return hash;
+}
+
+void Swim::tickSync(Turn& turn)
+{
+    if (turn.now < nextSync_)
+        return;
+    bool isJoining = syncsLeftToJoin_ > 0;
+    // Spread out, so that nodes that were started together do not sync together.
+    auto jitter = std::chrono::duration_cast<Duration>(options_.syncInterval * (random_.fraction() - 0.5) / 2);
+    nextSync_ = turn.now + (isJoining ? options_.joinInterval : options_.syncInterval + jitter);
+    if (isJoining && !members().empty())
+        --syncsLeftToJoin_;
+    if (members().empty())
+        return askSeed(turn);
+    for (const auto* member : table_.randomLive(random_, 1, self_.node))
+        send(turn, Urgency::Repair, member->record.peer, makeDigest(false), member);
+}
+
+void Swim::tickDeadPings(Turn& turn)
+{
+    if (turn.now < nextDeadPing_)
+        return;
+    bool isHealing = turn.now < healingUntil_;
+    nextDeadPing_ = turn.now + (isHealing ? healingInterval : options_.deadPingInterval);
+    const auto& gone = table_.gone();
+    if (!gone.empty() && (isHealing || random_.below(2) == 0)) {
+        auto chosen = std::next(gone.begin(), static_cast<std::ptrdiff_t>(random_.below(gone.size())));
+        const auto* member = table_.find(*chosen);
+        if (member->record.state == MemberState::Dead)
+            send(turn, Urgency::Repair, member->record.peer, Wire::Ping{nextSequence_++, member->record.node}, member);
         return;
-    auto differs = [&](const std::string& node) { return own.buckets[bucketOf(node)] != digest.buckets[bucketOf(node)]; };
+    }
+    // A cut may last longer than the dead are remembered.
+    askSeed(turn);
+}
+
+void Swim::sendRecords(Turn& turn, const Wire::Digest& digest)
+{
+    auto own = makeDigest(true);
+    auto differs = [&](const std::string& node) {
+        auto bucket = MemberTable::bucketOf(node);
+        return own.buckets[bucket] != digest.buckets[bucket];
+    };
     std::vector<const MemberRecord*> records;
-    if (differs(self_.node))
-        records.push_back(&self_);
-    for (const auto& [node, member] : members_) {
+    for (const auto& [node, member] : members()) {
         if (differs(node))
             records.push_back(&member.record);
     }
     std::ranges::shuffle(records, random_.engine());
+    if (differs(self_.node))
+        records.insert(records.begin(), &self_);
 
-    std::vector<Message> messages;
-    std::size_t room = 0;
+    Message message{{self_.node, turn.time, generation_}, Wire::Records(), {}, {}};
+    std::size_t datagrams = 0;
+    std::size_t room = newsRoomBytes;
     for (const auto* record : records) {
         auto size = Wire::encodedSize(*record);
-        bool isFull = messages.empty() || size > room || messages.back().updates.size() == Wire::maximumRecordsPerMessage;
-        if (isFull && messages.size() == maximumSyncDatagrams)
-            break;
-        if (isFull) {
-            messages.push_back({{self_.node, time, generation_}, Wire::Records(), {}});
-            room = recordsRoomBytes;
+        if (size > room || message.updates.size() == Wire::maximumRecordsPerMessage) {
+            if (!push(turn, Urgency::Repair, turn.from, std::exchange(message, {message.envelope, Wire::Records(), {}, {}})) || ++datagrams == maximumSyncDatagrams)
+                return;
+            room = newsRoomBytes;
         }
-        room -= std::min(room, size);
-        messages.back().updates.push_back(*record);
+        room -= size;
+        message.updates.push_back(*record);
+    }
+    if (!message.updates.empty())
+        push(turn, Urgency::Repair, turn.from, std::move(message));
+}
+
+void Swim::onDigest(Turn& turn, const Wire::Digest& digest)
+{
+    auto own = makeDigest(true);
+    if (own.buckets == digest.buckets) {
+        hasTable_ = true;
+        return;
+    }
+    std::ptrdiff_t differing = 0;
+    for (std::size_t bucket = 0; bucket < own.buckets.size(); ++bucket)
+        differing += own.buckets[bucket] != digest.buckets[bucket] ? 1 : 0;
+    const auto* sender = table_.find(turn.sender);
+    // A node that has only just started has nothing to be fetched.
+    bool hasMuch = 2 * digest.liveCount >= table_.liveCount();
+    if (differing > fetchedBuckets && hasMuch)
+        wantedTable_ = turn.from;
+    // A node that knows nobody yet is first given some members to turn to.
+    if (!digest.isReply && digest.liveCount > 0)
+        send(turn, Urgency::Repair, turn.from, own, sender);
+    sendRecords(turn, digest);
+}
+
+std::optional<Endpoint> Swim::takeTableRequest(Instant now)
+{
+    tableBudget_.refill(now);
+    if (!wantedTable_ || !tableBudget_.allows(0))
+        return std::nullopt;
+    auto from = *std::exchange(wantedTable_, std::nullopt);
+    // Many nodes that join at once know the same few seeds, so they ask others as soon as they know any.
+    if (auto others = table_.randomLive(random_, 1, self_.node); !hasTable_ && !others.empty())
+        from = others.front()->record.peer;
+    ++counts_.tableFetches;
+    return from;
+}
+
+void Swim::onTable(Instant now, const std::vector<MemberRecord>& records, std::size_t bytes)
+{
+    spendTable(bytes);
+    hasTable_ = true;
+    for (const auto& record : records) {
+        merge(now, record);
+        // What stands in another's table has been told before.
+        if (record.node == self_.node)
+            continue;
+        contentNews_.erase(record.node);
+        stateNews_.erase(record.node);
+    }
+}
+
+std::optional<std::vector<MemberRecord>> Swim::giveTable(Instant now)
+{
+    tableBudget_.refill(now);
+    if (!tableBudget_.allows(0)) {
+        ++counts_.tableRefusals;
+        return std::nullopt;
     }
-    for (auto& message : messages)
-        outgoing.push_back({from, std::move(message)});
-    if (!digest.isReply)
-        outgoing.push_back({from, {{self_.node, time, generation_}, own, {}}});
+    std::vector<MemberRecord> records{self_};
+    for (const auto& [node, member] : members())
+        records.push_back(member.record);
+    return records;
 }
 
-void Swim::onPing(const Endpoint& from, const Wire::Ping& ping, HybridTime time, std::vector<Outgoing>& outgoing)
+// Turns
+
+void Swim::tickGossip(Turn& turn)
 {
-    if (ping.target != self_.node)
+    if (turn.now < nextGossip_ || (newsCount() == 0 && generationRounds_ == 0))
         return;
-    outgoing.push_back({from, makeMessage(Wire::Ack{ping.sequence, self_.node}, time)});
+    nextGossip_ = turn.now + options_.gossipInterval;
+    for (const auto* member : table_.randomLive(random_, options_.gossipFanout, self_.node)) {
+        // A datagram without room for news would only cost.
+        if (!newsBudget_.allows(static_cast<double>(leastNewsRoomBytes + Wire::datagramHeaderBytes))) {
+            ++counts_.putOff;
+            return;
+        }
+        send(turn, Urgency::News, member->record.peer, Wire::Records(), member);
+        generationRounds_ -= generationRounds_ > 0 ? 1 : 0;
+    }
+}
+
+std::vector<Outgoing> Swim::tick(Instant now, HybridTime time)
+{
+    Turn turn{now, time, {}, {}, {}};
+    newsBudget_.refill(now);
+    repairBudget_.refill(now);
+    detectPause(now);
+    tickProbes(turn);
+    tickSuspicions(turn);
+    tickGone(now);
+    startProbes(turn);
+    tickGossip(turn);
+    tickSync(turn);
+    tickDeadPings(turn);
+    return std::move(turn.outgoing);
+}
+
+Instant Swim::nextDue() const
+{
+    auto due = std::min({nextPing_, nextSync_, nextDeadPing_});
+    if (newsCount() > 0 || generationRounds_ > 0)
+        due = std::min(due, nextGossip_);
+    for (const auto& [sequence, probe] : probes_)
+        due = std::min(due, probe.sentAt + (probe.isIndirect ? options_.pingInterval * (1 + health_) : options_.pingTimeout));
+    if (!table_.suspects().empty() && lastTick_)
+        due = std::min(due, *lastTick_ + suspicionScanInterval);
+    return due;
+}
+
+void Swim::onPing(Turn& turn, const Wire::Ping& ping)
+{
+    if (ping.target == self_.node)
+        send(turn, Urgency::Detection, turn.from, Wire::Ack{ping.sequence, self_.node}, table_.find(turn.sender));
 }
 
-void Swim::onAck(const Wire::Ack& ack, HybridTime time, std::vector<Outgoing>& outgoing)
+void Swim::onAck(Turn& turn, const Wire::Ack& ack)
 {
-    if (auto probe = probes_.find(ack.sequence); probe != probes_.end() && probe->second.target == ack.subject)
+    if (auto probe = probes_.find(ack.sequence); probe != probes_.end() && probe->second.target == ack.subject) {
         probes_.erase(probe);
+        health_ -= health_ > 0 ? 1 : 0;
+    }
     auto relay = relays_.find(ack.sequence);
     if (relay == relays_.end())
         return;
-    outgoing.push_back({relay->second.requester, makeMessage(Wire::Ack{relay->second.sequence, ack.subject}, time)});
+    send(turn, Urgency::Detection, relay->second.requester, Wire::Ack{relay->second.sequence, ack.subject}, nullptr);
     relays_.erase(relay);
 }
 
-void Swim::onPingRequest(Instant now, const Endpoint& from, const Wire::PingRequest& request, HybridTime time, std::vector<Outgoing>& outgoing)
+void Swim::onPingRequest(Turn& turn, const Wire::PingRequest& request)
 {
-    auto found = members_.find(request.target);
-    if (found == members_.end())
+    const auto* target = table_.find(request.target);
+    if (!target)
         return;
     auto sequence = nextSequence_++;
-    relays_[sequence] = {from, request.sequence, now};
-    outgoing.push_back({found->second.record.peer, makeMessage(Wire::Ping{sequence, request.target}, time)});
+    relays_[sequence] = {turn.from, request.sequence, turn.now};
+    send(turn, Urgency::Detection, target->record.peer, Wire::Ping{sequence, request.target}, target);
 }
 
 std::vector<Outgoing> Swim::receive(Instant now, const Endpoint& from, const Message& message, HybridTime time)
 {
-    std::vector<Outgoing> outgoing;
-    if (message.envelope.sender == self_.node)
-        return outgoing;
+    Turn turn{now, time, from, message.envelope.sender, {}};
+    if (turn.sender == self_.node)
+        return {};
+    newsBudget_.refill(now);
+    repairBudget_.refill(now);
     for (const auto& record : message.updates)
         merge(now, record);
-    if (auto sender = members_.find(message.envelope.sender); sender != members_.end())
-        sender->second.generation = message.envelope.generation;
+    for (const auto& update : message.states)
+        mergeState(now, update);
+    highestGeneration_ = std::max(highestGeneration_, message.envelope.generation);
+    if (auto* sender = table_.find(turn.sender))
+        sender->generation = message.envelope.generation;
 
     struct Visitor {
         Swim& swim;
-        Instant now;
-        const Endpoint& from;
-        HybridTime time;
-        std::vector<Outgoing>& outgoing;
-
-        void operator()(const Wire::Ping& ping) const { swim.onPing(from, ping, time, outgoing); }
-        void operator()(const Wire::Ack& ack) const { swim.onAck(ack, time, outgoing); }
-        void operator()(const Wire::PingRequest& request) const { swim.onPingRequest(now, from, request, time, outgoing); }
-        void operator()(const Wire::Digest& digest) const { swim.onDigest(from, digest, time, outgoing); }
+        Turn& turn;
+
+        void operator()(const Wire::Ping& ping) const { swim.onPing(turn, ping); }
+        void operator()(const Wire::Ack& ack) const { swim.onAck(turn, ack); }
+        void operator()(const Wire::PingRequest& request) const { swim.onPingRequest(turn, request); }
+        void operator()(const Wire::Digest& digest) const { swim.onDigest(turn, digest); }
         void operator()(const Wire::Records&) const { }
     };
-    std::visit(Visitor{*this, now, from, time, outgoing}, message.payload);
-    return outgoing;
+    std::visit(Visitor{*this, turn}, message.payload);
+    return std::move(turn.outgoing);
 }
 
 } // namespace balsamreel::Membership
--- a/lib/Node/Admin.cpp
+++ b/lib/Node/Admin.cpp
@@ -90,8 +90,10 @@
         return handleAnnounce(request, response);
     if (path == "/v1/status")
         return handleStatus(response);
-    if (path == "/v1/metrics")
+    if (path == "/v1/metrics") {
+        gossip_.setGauges();
         return sendText(response, HTTPResponse::HTTP_OK, "text/plain; version=0.0.4", context_.metrics.text());
+    }
     if (path == "/v1/timeline")
         return handleTimeline(response);
     if (path == "/v1/explain")
@@ -108,6 +110,7 @@
     if (auto error = parseAnnouncement(body, announcement); !error.empty())
         return sendText(response, HTTPResponse::HTTP_BAD_REQUEST, "text/plain", error + "\n");
     guard_.announce(monotonicNow(), announcement);
+    gossip_.refresh();
     sendText(response, HTTPResponse::HTTP_OK, "text/plain", "ok\n");
 }
 
--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "balsamreel/Support/Log.h"
 #include "balsamreel/Support/Random.h"
+#include "balsamreel/Wire/Headers.h"
 
 namespace balsamreel::Node {
 
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
+// With no call in flight only leases and idle connections end.
+constexpr Duration idleTickInterval = std::chrono::milliseconds(50);
 // A caller may have sent a call just before it learns that its connection closes.
 constexpr Duration quietBeforeEnd = std::chrono::milliseconds(1000);
 // Callers that go on sending to a leaving node are served for so long, then refused.
@@ -71,7 +74,11 @@
 
 void Daemon::handlePeer(HTTPServerRequest& request, HTTPServerResponse& response)
 {
-    if (request.getURI() != "/balsam/head" || request.has("X-Balsam-Attempt"))
+    if (request.has(Wire::attemptHeader))
+        return guard_.handle(request, response);
+    if (request.getURI() == "/balsam/members")
+        return giveTable(response);
+    if (request.getURI() != "/balsam/head")
         return guard_.handle(request, response);
     auto active = context_.config.get();
     if (!active)
@@ -79,13 +86,20 @@
     sendText(response, HTTPResponse::HTTP_OK, "text/plain", Config::encodeHead(active->head));
 }
 
+void Daemon::giveTable(HTTPServerResponse& response)
+{
+    if (auto table = gossip_.giveTable())
+        return sendText(response, HTTPResponse::HTTP_OK, "application/octet-stream", *table);
+    sendText(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "text/plain", "too many tables given\n");
+}
+
 void Daemon::runTicks()
 {
     while (!isEnding_) {
         auto now = monotonicNow();
         guard_.tick(now);
         context_.pool.tick(now);
-        std::this_thread::sleep_for(tickInterval);
+        std::this_thread::sleep_for(context_.inFlight.count() > 0 ? tickInterval : idleTickInterval);
     }
 }
 
--- a/lib/Node/Gossip.cpp
+++ b/lib/Node/Gossip.cpp
@@ -1,5 +1,6 @@
 #include "balsamreel/Node/Gossip.h"
 
+#include "balsamreel/Support/Http.h"
 #include "balsamreel/Support/Log.h"
 
 #include <Poco/Net/NetException.h>
@@ -18,7 +19,11 @@
 
 namespace {
 
-constexpr Duration tickInterval = std::chrono::milliseconds(50);
+// A longer sleep would look like a pause of the process.
+constexpr Duration longestWait = std::chrono::seconds(1);
+// Each publication goes over the whole table, so changes that come close together share one.
+constexpr Duration publishInterval = std::chrono::milliseconds(250);
+constexpr const char* tablePath = "/balsam/members";
 constexpr std::size_t watchersPerDomain = 2;
 constexpr unsigned maximumDatagramsPerTick = 256;
 
@@ -34,11 +39,6 @@
     return record;
 }
 
-bool isServing(const Wire::MemberRecord& record)
-{
-    return record.state == Wire::MemberState::Alive || record.state == Wire::MemberState::Suspect;
-}
-
 } // namespace
 
 Gossip::Gossip(Context& context, Guard& guard, std::uint64_t seed)
@@ -55,6 +55,8 @@
     isEnding_ = true;
     if (thread_.joinable())
         thread_.join();
+    if (fetcher_.joinable())
+        fetcher_.join();
 }
 
 void Gossip::start()
@@ -64,8 +66,75 @@
 
 void Gossip::leave()
 {
+    {
+        std::lock_guard lock(mutex_);
+        swim_.leave();
+    }
+    tick(monotonicNow());
+}
+
+void Gossip::refresh()
+{
+    tick(monotonicNow());
+}
+
+std::optional<std::string> Gossip::giveTable()
+{
+    std::optional<std::vector<Wire::MemberRecord>> records;
+    {
+        std::lock_guard lock(mutex_);
+        records = swim_.giveTable(monotonicNow());
+    }
+    if (!records)
+        return std::nullopt;
+    auto text = Wire::encodeTable(*records);
+    context_.metrics.add("balsam_table_given_bytes_total", static_cast<std::int64_t>(text.size()));
     std::lock_guard lock(mutex_);
-    swim_.leave();
+    swim_.spendTable(text.size());
+    return text;
+}
+
+void Gossip::fetchTable()
+{
+    if (isFetching_)
+        return;
+    std::optional<Support::Endpoint> peer;
+    {
+        std::lock_guard lock(mutex_);
+        peer = swim_.takeTableRequest(monotonicNow());
+    }
+    if (!peer)
+        return;
+    if (fetcher_.joinable())
+        fetcher_.join();
+    isFetching_ = true;
+    fetcher_ = std::thread([this, peer = *peer] {
+        fetchTableFrom(peer);
+        isFetching_ = false;
+    });
+}
+
+void Gossip::fetchTableFrom(const Support::Endpoint& peer)
+{
+    try {
+        Session session(peer.host, peer.port);
+        session.setTimeout(Poco::Timespan(1, 0));
+        Poco::Net::HTTPRequest request("GET", tablePath, "HTTP/1.1");
+        request.setKeepAlive(false);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        auto& stream = session.receiveResponse(response);
+        std::string text;
+        std::vector<Wire::MemberRecord> records;
+        bool isWhole = response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK && Support::readBody(stream, Wire::maximumTableBytes, text);
+        if (!isWhole || Wire::decodeTable(text, records))
+            return context_.metrics.add("balsam_table_errors_total");
+        context_.metrics.add("balsam_table_fetched_bytes_total", static_cast<std::int64_t>(text.size()));
+        std::lock_guard lock(mutex_);
+        swim_.onTable(monotonicNow(), records, text.size());
+    } catch (const Poco::Exception&) {
+        context_.metrics.add("balsam_table_errors_total");
+    }
 }
 
 std::vector<Wire::MemberRecord> Gossip::members() const
@@ -88,7 +157,7 @@
     std::lock_guard lock(mutex_);
     std::size_t before = 0;
     for (const auto& [node, member] : swim_.members()) {
-        if (isServing(member.record) && member.record.domain == context_.settings.domain && node < context_.settings.node)
+        if (Membership::isLive(member.record.state) && member.record.domain == context_.settings.domain && node < context_.settings.node)
             ++before;
     }
     return before < watchersPerDomain;
@@ -97,11 +166,22 @@
 void Gossip::run()
 {
     while (!isEnding_) {
-        receiveAll(tickInterval);
+        receiveAll(untilDue());
         tick(monotonicNow());
+        fetchTable();
     }
 }
 
+Duration Gossip::untilDue() const
+{
+    constexpr Duration shortestWait = std::chrono::milliseconds(1);
+    std::lock_guard lock(mutex_);
+    auto due = swim_.nextDue();
+    if (swim_.revision() != publishedRevision_)
+        due = std::min(due, nextPublish_);
+    return std::clamp(due - monotonicNow(), shortestWait, longestWait);
+}
+
 void Gossip::receiveAll(Duration wait)
 {
     std::array<std::uint8_t, Wire::maximumDatagramBytes + 1> buffer;
@@ -117,7 +197,7 @@
                 context_.metrics.add("balsam_gossip_malformed_total");
                 continue;
             }
-            context_.metrics.add("balsam_gossip_received_bytes_total", size);
+            context_.metrics.add("balsam_gossip_received_bytes_total", size + static_cast<int>(Wire::datagramHeaderBytes));
             auto& clock = context_.timeline.clock();
             clock.observe(message.envelope.time, wallMicros());
             std::vector<Membership::Outgoing> outgoing;
@@ -143,6 +223,7 @@
         if (auto active = context_.config.get())
             swim_.setGeneration(active->head.generation);
         outgoing = swim_.tick(now, context_.timeline.clock().tick(wallMicros()));
+        context_.incarnation = swim_.self().incarnation;
         recordChanges();
     }
     send(outgoing);
@@ -168,23 +249,40 @@
         }
         try {
             socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(datagram.to.host, datagram.to.port));
-            context_.metrics.add("balsam_gossip_sent_bytes_total", static_cast<std::int64_t>(bytes.size()));
+            context_.metrics.add("balsam_gossip_sent_bytes_total", static_cast<std::int64_t>(bytes.size() + Wire::datagramHeaderBytes));
         } catch (const Poco::Exception&) {
             context_.metrics.add("balsam_gossip_socket_errors_total");
         }
     }
 }
 
+void Gossip::setGauges() const
+{
+    std::lock_guard lock(mutex_);
+    auto& metrics = context_.metrics;
+    const auto& counts = swim_.counts();
+    metrics.set("balsam_members_alive", 1 + static_cast<double>(std::ranges::count_if(swim_.members(), [](const auto& entry) { return Membership::isLive(entry.second.record.state); })));
+    metrics.set("balsam_membership_digest", swim_.tableHash());
+    metrics.set("balsam_membership_health", swim_.health());
+    metrics.set("balsam_membership_pauses", static_cast<double>(counts.pauses));
+    metrics.set("balsam_membership_refutations", static_cast<double>(counts.refutations));
+    metrics.set("balsam_membership_name_conflicts", static_cast<double>(counts.nameConflicts));
+    metrics.set("balsam_gossip_put_off", static_cast<double>(counts.putOff));
+    metrics.set("balsam_table_fetches", static_cast<double>(counts.tableFetches));
+    metrics.set("balsam_table_refusals", static_cast<double>(counts.tableRefusals));
+}
+
 void Gossip::publish(Instant now)
 {
     std::vector<Balance::ServerFacts> facts;
     {
         std::lock_guard lock(mutex_);
-        if (swim_.revision() == publishedRevision_)
+        if (swim_.revision() == publishedRevision_ || now < nextPublish_)
             return;
         publishedRevision_ = swim_.revision();
+        nextPublish_ = now + publishInterval;
         auto addServers = [&](const Wire::MemberRecord& record) {
-            if (!isServing(record))
+            if (!Membership::isLive(record.state))
                 return;
             for (const auto& server : record.servers)
                 facts.push_back({{record.node, server.address}, server.service, record.domain, record.region, record.peer, server.slots, server.state, record.incarnation});
--- a/lib/Wire/Messages.cpp
+++ b/lib/Wire/Messages.cpp
@@ -2,8 +2,12 @@
 
 #include "balsamreel/Wire/Errors.h"
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
 #include <cereal/archives/portable_binary.hpp>
 
+#include <array>
 #include <sstream>
 
 namespace balsamreel::Support {
@@ -93,6 +97,13 @@
     serializeList(archive, record.servers, maximumServersPerMember);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, StateUpdate& update)
+{
+    archive(update.node, update.fingerprint, update.version);
+    serializeEnum(archive, update.state, lastMemberState);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, Envelope& envelope)
 {
@@ -126,7 +137,7 @@
 {
     for (auto& bucket : digest.buckets)
         archive(bucket);
-    archive(digest.isReply);
+    archive(digest.liveCount, digest.isReply);
 }
 
 template <typename Archive>
@@ -159,6 +170,39 @@
         throw std::system_error(make_error_code(WireError::UnknownKind));
     loadPayload(archive, kind, message.payload, std::make_index_sequence<std::variant_size_v<Payload>>());
     serializeList(archive, message.updates, maximumRecordsPerMessage);
+    serializeList(archive, message.states, maximumStatesPerMessage);
+}
+
+// Finalizer of splitmix64, so that all bits of a hash count.
+std::uint32_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return static_cast<std::uint32_t>(value ^ (value >> 31U));
+}
+
+// FNV-1a: the same on every node, unlike std::hash.
+std::uint32_t hashBytes(const std::string& bytes)
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (char byte : bytes)
+        hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3ULL;
+    return mix(hash);
+}
+
+// Unfolds a compressed text; stops where it grows beyond the limit.
+bool inflate(const std::string& compressed, std::size_t limit, std::string& text)
+{
+    constexpr std::size_t chunkBytes = 4096;
+    std::array<char, chunkBytes> chunk;
+    std::istringstream source(compressed);
+    Poco::InflatingInputStream stream(source);
+    while (stream.read(chunk.data(), chunk.size()) || stream.gcount() > 0) {
+        if (text.size() + static_cast<std::size_t>(stream.gcount()) > limit)
+            return false;
+        text.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
+    }
+    return true;
 }
 
 } // namespace
@@ -174,6 +218,7 @@
         archive(version, copy.envelope, kind);
         std::visit([&](auto& payload) { archive(payload); }, copy.payload);
         serializeList(archive, copy.updates, maximumRecordsPerMessage);
+        serializeList(archive, copy.states, maximumStatesPerMessage);
     }
     auto text = std::move(stream).str();
     return {text.begin(), text.end()};
@@ -184,18 +229,33 @@
     return encodeValue(record).size();
 }
 
-std::error_code decode(std::span<const std::uint8_t> bytes, Message& message)
+std::uint32_t nameHash(const std::string& name)
+{
+    return hashBytes(name);
+}
+
+std::uint32_t fingerprint(const MemberRecord& record)
+{
+    MemberRecord content = record;
+    content.version = 0;
+    content.state = MemberState::Alive;
+    return hashBytes(encodeValue(std::move(content)));
+}
+
+namespace {
+
+// Runs a reader over the bytes and turns its exceptions into errors of this layer.
+template <typename Reader>
+std::error_code decodeVersioned(std::string bytes, Reader reader)
 {
-    if (bytes.size() > maximumDatagramBytes)
-        return WireError::Oversized;
     try {
-        std::istringstream stream(std::string(bytes.begin(), bytes.end()));
+        std::istringstream stream(std::move(bytes));
         cereal::PortableBinaryInputArchive archive(stream);
         std::uint8_t version = 0;
         archive(version);
         if (version != protocolVersion)
             return WireError::UnknownVersion;
-        loadMessage(archive, message);
+        reader(archive);
     } catch (const SizeLimitExceeded&) {
         return WireError::Oversized;
     } catch (const MalformedValue&) {
@@ -208,4 +268,40 @@
     return {};
 }
 
+} // namespace
+
+std::string encodeTable(const std::vector<MemberRecord>& records)
+{
+    std::ostringstream compressed;
+    Poco::DeflatingOutputStream stream(compressed, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        auto copy = records;
+        std::uint8_t version = protocolVersion;
+        archive(version);
+        serializeList(archive, copy, maximumMembers);
+    }
+    stream.close();
+    return std::move(compressed).str();
+}
+
+std::error_code decodeTable(const std::string& bytes, std::vector<MemberRecord>& records)
+{
+    std::string text;
+    try {
+        if (!inflate(bytes, maximumTableBytes, text))
+            return WireError::Oversized;
+    } catch (const Poco::Exception&) {
+        return WireError::Malformed;
+    }
+    return decodeVersioned(std::move(text), [&](auto& archive) { serializeList(archive, records, maximumMembers); });
+}
+
+std::error_code decode(std::span<const std::uint8_t> bytes, Message& message)
+{
+    if (bytes.size() > maximumDatagramBytes)
+        return WireError::Oversized;
+    return decodeVersioned({bytes.begin(), bytes.end()}, [&](auto& archive) { loadMessage(archive, message); });
+}
+
 } // namespace balsamreel::Wire
--- a/unittests/Membership/SwimTest.cpp
+++ b/unittests/Membership/SwimTest.cpp
@@ -1,10 +1,5 @@
-// A handful of members behind a small fake of the network, on a virtual clock.
-#include "balsamreel/Membership/Swim.h"
-
-#include <gtest/gtest.h>
-
-#include <functional>
-#include <memory>
+// Failures of nodes and of the network between them.
+#include "FakeNetwork.h"
 
 namespace balsamreel::Membership {
 namespace {
@@ -12,74 +7,7 @@
 using namespace std::chrono_literals;
 using Wire::MemberState;
 
-/// Delivers datagrams after a millisecond, unless the filter drops them.
-class Network {
-public:
-    explicit Network(unsigned count, std::uint64_t seed = 1)
-    {
-        for (unsigned index = 0; index < count; ++index)
-            add(index, seed + index);
-    }
-
-    void add(unsigned index, std::uint64_t seed, std::uint64_t incarnation = 1)
-    {
-        Wire::MemberRecord self;
-        self.node = "n" + std::to_string(index);
-        self.incarnation = incarnation;
-        self.peer = {"127.0.0.1", static_cast<std::uint16_t>(1000 + index)};
-        nodes_[index] = std::make_unique<Swim>(SwimOptions(), self, seed);
-        nodes_[index]->setSeeds({{"127.0.0.1", 1000}, {"127.0.0.1", 1001}});
-    }
-
-    void remove(unsigned index) { nodes_.erase(index); }
-    Swim& node(unsigned index) { return *nodes_.at(index); }
-
-    void run(Support::Duration duration)
-    {
-        auto end = now_ + duration;
-        for (; now_ < end; now_ += 10ms) {
-            auto arriving = std::move(inTransit_);
-            inTransit_.clear();
-            for (auto& [from, datagram] : arriving)
-                deliver(from, datagram);
-            for (auto& [index, node] : nodes_) {
-                if (!isPaused(index))
-                    send(index, node->tick(now_, {}));
-            }
-        }
-    }
-
-    MemberState stateOf(unsigned viewer, unsigned subject)
-    {
-        auto found = node(viewer).members().find("n" + std::to_string(subject));
-        return found == node(viewer).members().end() ? MemberState::Dead : found->second.record.state;
-    }
-
-    std::function<bool(unsigned from, unsigned to)> drops = [](unsigned, unsigned) { return false; };
-    std::function<bool(unsigned)> isPaused = [](unsigned) { return false; };
-
-private:
-    void send(unsigned from, std::vector<Outgoing> outgoing)
-    {
-        for (auto& datagram : outgoing)
-            inTransit_.emplace_back(from, std::move(datagram));
-    }
-
-    void deliver(unsigned from, const Outgoing& datagram)
-    {
-        unsigned to = datagram.to.port - 1000U;
-        auto found = nodes_.find(to);
-        if (found == nodes_.end() || drops(from, to) || isPaused(to))
-            return;
-        Wire::Message message;
-        ASSERT_FALSE(Wire::decode(Wire::encode(datagram.message), message));
-        send(to, found->second->receive(now_, {"127.0.0.1", static_cast<std::uint16_t>(1000 + from)}, message, {}));
-    }
-
-    Support::Instant now_{};
-    std::map<unsigned, std::unique_ptr<Swim>> nodes_;
-    std::vector<std::pair<unsigned, Outgoing>> inTransit_;
-};
+using Network = FakeNetwork;
 
 TEST(Swim, AllFindEachOtherFromTwoSeeds)
 {
@@ -148,5 +76,143 @@
     }
 }
 
+TEST(Swim, APausedMemberThatWakesEjectsNobody)
+{
+    Network network(8);
+    network.run(10s);
+    network.isPaused = [](unsigned index) { return index == 3; };
+    network.run(60s);
+    network.isPaused = [](unsigned) { return false; };
+    unsigned ejections = 0;
+    network.onChange = [&](unsigned, const MemberChange& change) { ejections += change.state == MemberState::Dead ? 1 : 0; };
+    network.run(30s);
+    EXPECT_EQ(ejections, 0U);
+    EXPECT_EQ(network.node(3).counts().pauses, 1U);
+    EXPECT_TRUE(network.allAgree());
+}
+
+TEST(Swim, HeavyLossEjectsNobody)
+{
+    Network network(16);
+    network.run(10s);
+    unsigned ejections = 0;
+    network.onChange = [&](unsigned, const MemberChange& change) { ejections += change.state == MemberState::Dead ? 1 : 0; };
+    network.loss = 0.2;
+    network.run(300s);
+    EXPECT_EQ(ejections, 0U);
+}
+
+TEST(Swim, ARegionCutOffForAnHourIsFoundAgainAndEjectsNoneOfItsOwn)
+{
+    Network network(12);
+    network.run(10s);
+    unsigned ejectedOwn = 0;
+    auto regionOf = [](unsigned index) { return index % 2; };
+    network.onChange = [&](unsigned viewer, const MemberChange& change) {
+        bool isOwn = regionOf(viewer) == regionOf(static_cast<unsigned>(std::stoul(change.node.substr(1))));
+        ejectedOwn += isOwn && change.state == MemberState::Dead ? 1 : 0;
+    };
+    network.drops = [&](unsigned from, unsigned to) { return regionOf(from) != regionOf(to); };
+    network.run(1h, 100ms);
+    EXPECT_EQ(network.stateOf(0, 1), MemberState::Dead);
+    network.drops = [](unsigned, unsigned) { return false; };
+    auto healed = network.runUntil([&] { return network.allAgree(); }, 120s);
+    RecordProperty("healed_ms", static_cast<int>(Support::toMillis(healed)));
+    EXPECT_LT(healed, 60s);
+    EXPECT_EQ(ejectedOwn, 0U);
+}
+
+TEST(Swim, ADomainThatGoesAtOnceIsFoundWithinTheByteBudget)
+{
+    Network network(48);
+    ASSERT_LT(network.runUntil([&] { return network.allAgree(); }, 30s), 30s);
+    network.run(10s);
+    for (unsigned index = 5; index < 48; index += 6)
+        network.remove(index);
+    unsigned ejections = 0;
+    network.onChange = [&](unsigned, const MemberChange& change) { ejections += change.state == MemberState::Dead ? 1 : 0; };
+    network.sentBytes.clear();
+    auto isFound = [&] {
+        return std::ranges::all_of(network.nodes(), [](const auto& entry) {
+            return std::ranges::count_if(entry.second->members(), [](const auto& member) { return member.second.record.state == MemberState::Dead; }) == 8;
+        });
+    };
+    auto found = network.runUntil(isFound, 60s);
+    EXPECT_TRUE(network.allAgree());
+    RecordProperty("found_ms", static_cast<int>(Support::toMillis(found)));
+    EXPECT_LT(found, 30s);
+    EXPECT_EQ(ejections, 40U * 8U);
+    // Pings and their answers are not held back, since silence would look like a failure; they are few and small.
+    constexpr std::size_t detectionBytes = 1000;
+    auto cap = static_cast<std::size_t>(network.options.newsBytesPerSecond + network.options.newsBurstBytes + network.options.repairBytesPerSecond + network.options.repairBurstBytes) + detectionBytes;
+    for (const auto& [key, bytes] : network.sentBytes)
+        EXPECT_LE(bytes, cap) << "node " << key.first << " second " << key.second;
+}
+
+TEST(Swim, NewsOfADrainReachesAllInATimeThatGrowsSlowly)
+{
+    for (unsigned count : {12U, 24U, 48U}) {
+        Network network(count);
+        ASSERT_LT(network.runUntil([&] { return network.allAgree(); }, 30s), 30s);
+        network.run(10s);
+        network.node(4).setServers({{"service", {"127.0.0.1", 1004}, 9, Wire::ServerState::Draining}});
+        auto isKnown = [&](const auto& entry) { return entry.first == 4 || entry.second->members().at("n4").record.servers.front().state == Wire::ServerState::Draining; };
+        auto spent = network.runUntil([&] { return std::ranges::all_of(network.nodes(), isKnown); }, 20s);
+        RecordProperty("drain_ms_" + std::to_string(count), static_cast<int>(Support::toMillis(spent)));
+        EXPECT_LT(spent, 3s) << count;
+    }
+}
+
+TEST(Swim, ARestartWithAnEarlierClockIsNotTakenForItsOldStart)
+{
+    Network network(6);
+    network.run(10s);
+    network.remove(2);
+    network.add(2, 99, 0);
+    network.run(30s);
+    EXPECT_GT(network.node(2).self().incarnation, 1U);
+    EXPECT_TRUE(network.allAgree());
+}
+
+TEST(Swim, OfTwoNodesWithOneNameTheLaterStartHolds)
+{
+    Network network(6);
+    network.run(10s);
+    network.addNamed(20, "n2", 77, 5);
+    network.run(20s);
+    EXPECT_GT(network.node(2).counts().nameConflicts, 0U);
+    EXPECT_EQ(network.node(0).members().at("n2").record.peer.port, Network::firstPort + 20);
+}
+
+TEST(Swim, MembersThatLeftAreForgottenForGood)
+{
+    Network network(5);
+    network.run(10s);
+    network.node(4).leave();
+    network.run(5s);
+    network.remove(4);
+    EXPECT_EQ(network.stateOf(0, 4), MemberState::Left);
+    network.run(11min, 50ms);
+    for (const auto& [index, node] : network.nodes())
+        EXPECT_EQ(node->members().size(), 3U) << index;
+    EXPECT_TRUE(network.allAgree());
+}
+
+TEST(ByteBudget, NeverPassesMoreThanItsRateAndBurst)
+{
+    ByteBudget budget(1000, 500);
+    Support::Instant now{};
+    double passed = 0;
+    for (unsigned step = 0; step < 1000; ++step, now += 10ms) {
+        budget.refill(now);
+        if (!budget.allows(130))
+            continue;
+        budget.spend(130);
+        passed += 130;
+    }
+    EXPECT_LE(passed, 10 * 1000 + 500);
+    EXPECT_GE(passed, 10 * 1000 - 500);
+}
+
 } // namespace
 } // namespace balsamreel::Membership
--- a/unittests/Wire/MessagesTest.cpp
+++ b/unittests/Wire/MessagesTest.cpp
@@ -16,7 +16,7 @@
     record.incarnation = 7;
     record.peer = {"127.0.0.1", 9};
     record.servers.push_back({"catalog", {"127.0.0.1", 10}, 9, ServerState::Ready});
-    return {{"a-0", {5, 1}, 3}, Ping{4, "a-1"}, {record}};
+    return {{"a-0", {5, 1}, 3}, Ping{4, "a-1"}, {record}, {{7, 8, 9, MemberState::Dead}}};
 }
 
 TEST(Messages, SurviveTheRoundTrip)
@@ -27,6 +27,30 @@
     EXPECT_EQ(decoded.updates, sampleMessage().updates);
     EXPECT_EQ(std::get<Ping>(decoded.payload).target, "a-1");
     EXPECT_EQ(decoded.envelope.generation, 3U);
+    ASSERT_EQ(decoded.states.size(), 1U);
+    EXPECT_EQ(decoded.states.front().version, 9U);
+    EXPECT_EQ(decoded.states.front().state, MemberState::Dead);
+}
+
+TEST(Messages, ATableSurvivesTheRoundTripAndItsTruncationsAreErrors)
+{
+    auto text = encodeTable(sampleMessage().updates);
+    std::vector<MemberRecord> records;
+    ASSERT_FALSE(decodeTable(text, records));
+    EXPECT_EQ(records, sampleMessage().updates);
+    for (std::size_t size = 0; size < text.size() / 2; ++size)
+        EXPECT_TRUE(decodeTable(text.substr(0, size), records)) << size;
+}
+
+TEST(Messages, AFingerprintHoldsForAllButVersionAndState)
+{
+    auto record = sampleMessage().updates.front();
+    auto other = record;
+    other.version = 5;
+    other.state = MemberState::Suspect;
+    EXPECT_EQ(fingerprint(record), fingerprint(other));
+    other.servers.front().state = ServerState::Draining;
+    EXPECT_NE(fingerprint(record), fingerprint(other));
 }
 
 TEST(Messages, EveryTruncationIsAnError)
