--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(10);
+// With no call in flight only leases and idle connections end.
+constexpr Duration idleTickInterval = std::chrono::milliseconds(50);
 // A caller may have sent a call just before it learns that its connection closes.
 constexpr Duration quietBeforeEnd = std::chrono::milliseconds(1000);
 // Callers that go on sending to a leaving node are served for so long, then refused.
@@ -82,16 +84,19 @@
         return claims_.handle(request, response);
     if (request.has(Wire::queryHeader))
         return guard_.handleQuery(request, response);
-    bool isAttempt = request.has("X-Balsam-Attempt");
+    if (request.has(Wire::attemptHeader))
+        return guard_.handle(request, response);
     auto path = Support::pathOf(request.getURI());
-    if (!isAttempt && path == newerPath) {
+    if (path == "/balsam/members")
+        return giveTable(response);
+    if (path == newerPath) {
         auto generation = Support::queryValue(request.getURI(), "generation", "0");
         std::uint64_t number = 0;
         std::from_chars(generation.data(), generation.data() + generation.size(), number);
         follower_.hear(number, Support::queryValue(request.getURI(), "node"));
         return sendText(response, HTTPResponse::HTTP_OK, "text/plain", "ok\n");
     }
-    if (isAttempt || path != headPath)
+    if (path != headPath)
         return guard_.handle(request, response);
     auto active = context_.config.get();
     if (!active)
@@ -99,13 +104,20 @@
     sendText(response, HTTPResponse::HTTP_OK, "text/plain", Config::encodeHead(active->head));
 }
 
+void Daemon::giveTable(HTTPServerResponse& response)
+{
+    if (auto table = gossip_.giveTable())
+        return sendText(response, HTTPResponse::HTTP_OK, "application/octet-stream", *table);
+    sendText(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "text/plain", "too many tables given\n");
+}
+
 void Daemon::runTicks()
 {
     while (!isEnding_) {
         auto now = monotonicNow();
         guard_.tick(now);
         context_.pool.tick(now);
-        std::this_thread::sleep_for(tickInterval);
+        std::this_thread::sleep_for(context_.inFlight.count() > 0 ? tickInterval : idleTickInterval);
     }
 }
 
