Filter the merged time line by node, server, call, kind and time

Cause: balsamctl timeline printed all events of the nodes named and nothing of those not named; one call could be found only with grep.

--- a/lib/Operator/Commands.cpp
+++ b/lib/Operator/Commands.cpp
@@ -2,9 +2,6 @@
 #include "balsamreel/Support/Http.h"
 
 #include <Poco/Exception.h>
-#include <Poco/JSON/Array.h>
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -12,7 +9,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <tuple>
 
 namespace balsamreel::Operator {
 
@@ -87,44 +83,6 @@
     return askAll(context, fmt::format("/v1/explain?method={}&path={}", context.arguments[0], path));
 }
 
-struct Event {
-    std::int64_t micros = 0;
-    std::uint32_t counter = 0;
-    std::string node;
-    std::string text;
-};
-
-void addEvents(const std::string& answer, std::vector<Event>& events)
-{
-    auto root = Poco::JSON::Parser().parse(answer).extract<Poco::JSON::Object::Ptr>();
-    auto list = root->getArray("events");
-    for (unsigned index = 0; index < list->size(); ++index) {
-        auto entry = list->getObject(index);
-        events.push_back({entry->getValue<Poco::Int64>("micros"), entry->getValue<unsigned>("counter"), entry->getValue<std::string>("node"), entry->getValue<std::string>("kind") + " " + entry->getValue<std::string>("detail")});
-    }
-}
-
-ExitStatus runTimeline(const CommandContext& context)
-{
-    std::vector<Event> events;
-    for (const auto& node : context.nodes) {
-        auto answer = askNode(node, "/v1/timeline");
-        if (!answer) {
-            fail(fmt::format("{}: no answer; its events are missing", node.text()));
-            continue;
-        }
-        try {
-            addEvents(*answer, events);
-        } catch (const Poco::Exception& error) {
-            fail(fmt::format("{}: {}", node.text(), error.displayText()));
-        }
-    }
-    std::ranges::sort(events, {}, [](const Event& event) { return std::tuple(event.micros, event.counter, event.node); });
-    for (const auto& event : events)
-        fmt::print("{}.{} {} {}\n", event.micros, event.counter, event.node, event.text);
-    return events.empty() ? ExitStatus::Failed : ExitStatus::Done;
-}
-
 } // namespace
 
 const std::vector<Command>& commands()
@@ -141,7 +99,10 @@
         {"diff", "FOLDER|FILE", "compares a local folder or file with the store's", "Needs --store. Lines only in the store are marked '-', lines only here '+'.", 1, 1, runDiff},
         {"status", "", "shows what is in force where, what lags, members and drains", "Needs --nodes; one live node is enough, since it names the others.\nWithout --nodes, or if none answers, prints what the failure domains last wrote to --store.", 0, 0, runStatus},
         {"explain", "METHOD PATH", "shows where a request would go and why", "Needs --nodes.", 2, 2, runExplain},
-        {"timeline", "", "shows the events of all nodes in causal order", "Needs --nodes.", 0, 0, runTimeline},
+        {"timeline", "[KEY=VALUE...]", "shows the events of all nodes in causal order",
+            "Needs --nodes; one live node is enough, since it names the others. Filters: node=NAME, server=IP:PORT, call=ID,\n"
+            "kind=KIND, since=SECONDS before the newest event. A call is recorded if it carries the header X-Balsam-Trace.",
+            0, 5, runTimeline},
         {"metrics", "", "prints the nodes' metrics", "Needs --nodes.", 0, 0, runMetrics},
     };
     return table;
--- a/lib/Operator/Common.h
+++ b/lib/Operator/Common.h
@@ -26,5 +26,6 @@
 ExitStatus runCheck(const CommandContext&);
 ExitStatus runDiff(const CommandContext&);
 ExitStatus runStatus(const CommandContext&);
+ExitStatus runTimeline(const CommandContext&);
 
 } // namespace balsamreel::Operator
--- /dev/null
+++ b/lib/Operator/Events.cpp
@@ -0,0 +1,116 @@
+#include "balsamreel/Operator/Events.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <tuple>
+
+namespace balsamreel::Operator {
+
+namespace {
+
+constexpr double microsPerSecond = 1e6;
+
+/// The value of a key in "key=value key=value"; values with spaces are quoted.
+bool hasValue(const std::string& detail, const std::string& key, const std::string& value)
+{
+    auto pair = " " + key + "=" + value;
+    auto padded = " " + detail + " ";
+    for (auto at = padded.find(pair); at != std::string::npos; at = padded.find(pair, at + 1)) {
+        if (padded[at + pair.size()] == ' ')
+            return true;
+    }
+    return false;
+}
+
+// Servers stand in details as ADDRESS alone or as NODE/ADDRESS.
+bool namesServer(const std::string& detail, const std::string& server)
+{
+    auto padded = detail + " ";
+    return padded.find("=" + server + " ") != std::string::npos || padded.find("/" + server + " ") != std::string::npos;
+}
+
+bool passes(const Event& event, const EventFilter& filter)
+{
+    if (!filter.node.empty() && event.node != filter.node)
+        return false;
+    if (!filter.kind.empty() && event.kind != filter.kind)
+        return false;
+    if (!filter.server.empty() && !namesServer(event.detail, filter.server))
+        return false;
+    return filter.call.empty() || hasValue(event.detail, "call", filter.call);
+}
+
+} // namespace
+
+std::string parseFilter(const std::vector<std::string>& arguments, EventFilter& filter)
+{
+    for (const auto& argument : arguments) {
+        auto equals = argument.find('=');
+        auto key = argument.substr(0, equals);
+        auto value = equals == std::string::npos ? std::string() : argument.substr(equals + 1);
+        if (value.empty())
+            return fmt::format("'{}' must be KEY=VALUE", argument);
+        double seconds = 0;
+        if (key == "node")
+            filter.node = value;
+        else if (key == "server")
+            filter.server = value;
+        else if (key == "call")
+            filter.call = value;
+        else if (key == "kind")
+            filter.kind = value;
+        else if (key != "since")
+            return fmt::format("'{}' is no filter; take node, server, call, kind or since", key);
+        else if (auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), seconds); error != std::errc() || end != value.data() + value.size() || seconds < 0)
+            return fmt::format("since must be a number of seconds, not '{}'", value);
+        else
+            filter.sinceSeconds = seconds;
+    }
+    return {};
+}
+
+void addEvents(const std::string& answer, std::vector<Event>& events)
+{
+    auto root = Poco::JSON::Parser().parse(answer).extract<Poco::JSON::Object::Ptr>();
+    auto list = root->getArray("events");
+    for (unsigned index = 0; list && index < list->size(); ++index) {
+        auto entry = list->getObject(index);
+        events.push_back({entry->getValue<Poco::Int64>("micros"), entry->getValue<unsigned>("counter"), entry->getValue<std::string>("node"), entry->getValue<std::string>("kind"), entry->getValue<std::string>("detail")});
+    }
+}
+
+std::vector<Event> selectEvents(std::vector<Event> events, const EventFilter& filter)
+{
+    std::ranges::sort(events, {}, [](const Event& event) { return std::tuple(event.micros, event.counter, event.node); });
+    std::int64_t earliest = 0;
+    if (filter.sinceSeconds && !events.empty())
+        earliest = events.back().micros - static_cast<std::int64_t>(*filter.sinceSeconds * microsPerSecond);
+    std::erase_if(events, [&](const Event& event) { return event.micros < earliest || !passes(event, filter); });
+    return events;
+}
+
+std::string eventText(const Event& event)
+{
+    return fmt::format("{}.{} {} {} {}", event.micros, event.counter, event.node, event.kind, event.detail);
+}
+
+std::string eventJson(const Event& event)
+{
+    Poco::JSON::Object object;
+    object.set("micros", event.micros);
+    object.set("counter", event.counter);
+    object.set("node", event.node);
+    object.set("kind", event.kind);
+    object.set("detail", event.detail);
+    std::ostringstream stream;
+    object.stringify(stream);
+    return std::move(stream).str();
+}
+
+} // namespace balsamreel::Operator
