--- a/include/balsamreel/Node/Daemon.h
+++ b/include/balsamreel/Node/Daemon.h
@@ -29,12 +29,14 @@
 
 private:
     void handlePeer(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&);
+    void giveTable(Poco::Net::HTTPServerResponse&);
     void runTicks();
 
     Context context_;
     Guard guard_;
-    Entry entry_;
     Gossip gossip_;
+    KeyClaims claims_;
+    Entry entry_;
     ConfigFollower follower_;
     Admin admin_;
     std::atomic<bool> isEnding_{false};
