--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -131,6 +131,9 @@
     request.set(Wire::workClassHeader, std::string(Support::nameOf(Config::workClassNames, call.route->workClass)));
     call.trace.passOn(request);
     call.trace.step("attempt", "attempt={} server={}", attempt.text(), choice.server.text());
+    // A call is turned away once at most, so that with all servers slow it still runs.
+    if (call.attempts == 1 && choice.hasAlternative)
+        request.set(Wire::mayDivertHeader, "1");
     if (call.isAtMostOnce)
         request.set(Wire::atMostOnceHeader, "1");
     if (!call.body.isWhole())
@@ -254,6 +257,8 @@
 
     Balance::Feedback feedback;
     feedback.latency = monotonicNow() - sentAt;
+    feedback.startedAt = choice.chosenAt;
+    feedback.route = call.route->name;
     feedback.stamp = Wire::parseLoadStamp(answer.get(Wire::loadHeader, ""));
     bool isRefused = !error && outcomeOf(answer) == Support::nameOf(Wire::outcomeNames, Wire::Outcome::NotRun);
     if (error)
@@ -304,7 +309,7 @@
             std::lock_guard lock(context_.balancerMutex);
             choice = context_.balancer.choose(now, call.service->name, isNaive, call.excluded);
             if (choice)
-                context_.balancer.started(now, choice->server);
+                context_.balancer.started(now, choice->server, call.route->name);
         }
         if (!choice) {
             giveUp(call, call.lastRefusal);
