Settle tables quickly after many changes at once

A killed domain of 16 in 100 took 37.9 s, since each unanswered ping to a dead member raised the node's distrust in itself.

Change: tables that differ are compared each second until they agree; records go out only where little differs, else the table is fetched; a node that knows nobody is given four members; repairs 500 bytes/s, news 800, tables 700. A host that equals the peer address's is left out of a record. Only a suspicion that proves wrong raises local health.

Ruled out: syncing each second with the old split of budgets (100 nodes: 24.6 s), raising the news' share alone.

--- a/include/balsamreel/Membership/Swim.h
+++ b/include/balsamreel/Membership/Swim.h
@@ -32,9 +32,9 @@
     unsigned retransmitFactor = 2; ///< each news is sent this many times log2 of the table's size
     double newsBytesPerSecond = 800; ///< sent; on average as much is received
     double newsBurstBytes = 1500;
-    double repairBytesPerSecond = 300; ///< digests and the records they ask for, sent
-    double repairBurstBytes = 1500;
-    double tableBytesPerSecond = 1400; ///< whole tables fetched and given, on average
+    double repairBytesPerSecond = 500; ///< digests and the records they ask for, sent
+    double repairBurstBytes = 3000;
+    double tableBytesPerSecond = 700; ///< whole tables fetched and given, on average
     double tableBurstBytes = 40'000;
 };
 
@@ -186,6 +186,7 @@
     ByteBudget tableBudget_;
     std::optional<Support::Endpoint> wantedTable_;
     bool hasTable_ = false;
+    bool isSettled_ = false; ///< the last digest was not answered by one that differs
 
     std::uint64_t nextSequence_ = 1;
     std::map<std::uint64_t, Probe> probes_;
--- a/lib/Membership/MemberTable.cpp
+++ b/lib/Membership/MemberTable.cpp
@@ -70,6 +70,7 @@
     member.fingerprint = Wire::fingerprint(record);
     member.isDoubted = false;
     member.checks = 0;
+    member.isOwnSuspicion = false;
     index(member);
     return member;
 }
@@ -79,6 +80,7 @@
     unindex(member);
     member.record.state = state;
     member.checks = 0;
+    member.isOwnSuspicion = false;
     member.stateSince = now;
     index(member);
 }
--- a/lib/Membership/Swim.cpp
+++ b/lib/Membership/Swim.cpp
@@ -28,6 +28,10 @@
 constexpr std::size_t maximumSyncDatagrams = 2;
 // With more buckets that differ, one whole table in compressed form is cheaper than datagrams of records.
 constexpr std::ptrdiff_t fetchedBuckets = 12;
+// Until tables differ in little, they are compared more often.
+constexpr Duration resyncDelay = std::chrono::seconds(1);
+constexpr std::size_t recordsForJoiner = 4;
+constexpr std::size_t stormRecords = 16;
 constexpr unsigned maximumHealth = 4;
 // Tables up to two to this power of members get the plain suspicion timeout.
 constexpr double smallTableLog2 = 5;
@@ -277,6 +281,9 @@
 void Swim::replace(Instant now, Member& known, const MemberRecord& record)
 {
     MemberRecord old = known.record;
+    // Only a suspicion that proved wrong says something of this node: pings to members that are gone fail everywhere.
+    if (known.isOwnSuspicion && record.state == MemberState::Alive && record.incarnation == old.incarnation)
+        raiseHealth();
     auto oldFingerprint = known.fingerprint;
     auto& member = table_.put(now, record);
     bool isContent = member.fingerprint != oldFingerprint;
@@ -422,10 +429,10 @@
             ++current;
             continue;
         }
-        raiseHealth();
         auto* member = table_.find(probe.target);
         if (member && member->record.state == MemberState::Alive) {
             changeState(turn.now, *member, MemberState::Suspect);
+            member->isOwnSuspicion = true;
             doubt(*member);
         }
         current = probes_.erase(current);
@@ -526,13 +533,18 @@
     bool isJoining = syncsLeftToJoin_ > 0;
     // Spread out, so that nodes that were started together do not sync together.
     auto jitter = std::chrono::duration_cast<Duration>(options_.syncInterval * (random_.fraction() - 0.5) / 2);
-    nextSync_ = turn.now + (isJoining ? options_.joinInterval : options_.syncInterval + jitter);
-    if (isJoining && !members().empty())
-        --syncsLeftToJoin_;
+    // One table tells much news at less cost than datagrams of records.
+    bool isStorm = contentNews_.size() > stormRecords;
+    auto interval = isJoining ? options_.joinInterval : options_.syncInterval + jitter;
+    nextSync_ = turn.now + (isStorm || !isSettled_ ? std::min(interval, resyncDelay) : interval);
     if (members().empty())
         return askSeed(turn);
-    for (const auto* member : table_.randomLive(random_, 1, self_.node))
-        send(turn, Urgency::Repair, member->record.peer, makeDigest(false), member);
+    for (const auto* member : table_.randomLive(random_, 1, self_.node)) {
+        bool isSent = send(turn, Urgency::Repair, member->record.peer, makeDigest(false), member);
+        syncsLeftToJoin_ -= isSent && isJoining ? 1 : 0;
+        // Nothing is answered if the tables are the same.
+        isSettled_ = isSent;
+    }
 }
 
 void Swim::tickDeadPings(Turn& turn)
@@ -566,6 +578,9 @@
             records.push_back(&member.record);
     }
     std::ranges::shuffle(records, random_.engine());
+    // A node that knows nobody needs only some members to turn to.
+    if (digest.liveCount == 0)
+        records.resize(std::min(records.size(), recordsForJoiner));
     if (differs(self_.node))
         records.insert(records.begin(), &self_);
 
@@ -593,6 +608,8 @@
         hasTable_ = true;
         return;
     }
+    isSettled_ = false;
+    nextSync_ = std::min(nextSync_, turn.now + resyncDelay);
     std::ptrdiff_t differing = 0;
     for (std::size_t bucket = 0; bucket < own.buckets.size(); ++bucket)
         differing += own.buckets[bucket] != digest.buckets[bucket] ? 1 : 0;
@@ -604,7 +621,9 @@
     // A node that knows nobody yet is first given some members to turn to.
     if (!digest.isReply && digest.liveCount > 0)
         send(turn, Urgency::Repair, turn.from, own, sender);
-    sendRecords(turn, digest);
+    // What differs in much is fetched as a whole table instead.
+    if (differing <= fetchedBuckets || digest.liveCount == 0)
+        sendRecords(turn, digest);
 }
 
 std::optional<Endpoint> Swim::takeTableRequest(Instant now)
@@ -624,6 +643,8 @@
 {
     spendTable(bytes);
     hasTable_ = true;
+    isSettled_ = false;
+    nextSync_ = std::min(nextSync_, now + resyncDelay);
     for (const auto& record : records) {
         merge(now, record);
         // What stands in another's table has been told before.
--- a/lib/Wire/Messages.cpp
+++ b/lib/Wire/Messages.cpp
@@ -77,11 +77,28 @@
     return {static_cast<int>(error), category};
 }
 
+namespace {
+
+// Most of a node's addresses have one host, so one equal to the peer address's is left out.
+template <typename Archive>
+void serializeNear(Archive& archive, Support::Endpoint& endpoint, const Support::Endpoint& peer)
+{
+    bool isElsewhere = endpoint.host != peer.host;
+    archive(isElsewhere);
+    if (isElsewhere)
+        serializeText(archive, endpoint.host, maximumHostBytes);
+    else
+        endpoint.host = peer.host;
+    archive(endpoint.port);
+}
+
+} // namespace
+
 template <typename Archive>
 void serialize(Archive& archive, ServerRecord& record)
 {
     serializeText(archive, record.service, maximumNameBytes);
-    archive(record.address, record.slots);
+    archive(record.slots);
     serializeEnum(archive, record.state, lastServerState);
 }
 
@@ -91,10 +108,13 @@
     serializeText(archive, record.node, maximumNameBytes);
     archive(record.incarnation, record.version);
     serializeEnum(archive, record.state, lastMemberState);
-    archive(record.peer, record.admin);
+    archive(record.peer);
+    serializeNear(archive, record.admin, record.peer);
     serializeText(archive, record.domain, maximumNameBytes);
     serializeText(archive, record.region, maximumNameBytes);
     serializeList(archive, record.servers, maximumServersPerMember);
+    for (auto& server : record.servers)
+        serializeNear(archive, server.address, record.peer);
 }
 
 template <typename Archive>
