--- a/include/balsamreel/Node/Gossip.h
+++ b/include/balsamreel/Node/Gossip.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Membership/Swim.h"
 #include "balsamreel/Node/Context.h"
 #include "balsamreel/Node/Guard.h"
+#include "balsamreel/Node/Prober.h"
 
 #include <Poco/Net/DatagramSocket.h>
 
@@ -37,10 +38,9 @@
     std::optional<std::string> giveTable();
 
     std::vector<Wire::MemberRecord> members() const; ///< with this node itself
-    std::optional<Wire::MemberRecord> newerPeer() const;
 
-    /// This node is among the few of its failure domain that watch the store.
-    bool isWatcher() const;
+    /// A random one of the live members that follow the highest generation known, if that is newer than this node's.
+    std::optional<Wire::MemberRecord> newerPeer(Support::Random&) const;
 
 private:
     void run();
@@ -57,6 +57,7 @@
     Guard& guard_;
     mutable std::mutex mutex_;
     Membership::Swim swim_;
+    Prober prober_; ///< used by the gossip thread only
     std::uint64_t publishedRevision_ = 0;
     Poco::Net::DatagramSocket socket_;
     std::atomic<bool> isEnding_{false};
--- a/lib/Membership/Swim.cpp
+++ b/lib/Membership/Swim.cpp
@@ -767,6 +767,9 @@
         void operator()(const Wire::PingRequest& request) const { swim.onPingRequest(turn, request); }
         void operator()(const Wire::Digest& digest) const { swim.onDigest(turn, digest); }
         void operator()(const Wire::Records&) const { }
+        // The load of servers is no matter of membership.
+        void operator()(const Wire::LoadProbe&) const { }
+        void operator()(const Wire::LoadReport&) const { }
     };
     std::visit(Visitor{*this, turn}, message.payload);
     return std::move(turn.outgoing);
--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -1,9 +1,12 @@
 #include "balsamreel/Node/Daemon.h"
 
+#include "balsamreel/Node/HeadExchange.h"
 #include "balsamreel/Support/Log.h"
 #include "balsamreel/Support/Random.h"
 #include "balsamreel/Wire/Headers.h"
 
+#include <charconv>
+
 namespace balsamreel::Node {
 
 using Poco::Net::HTTPResponse;
@@ -36,8 +39,9 @@
 Daemon::Daemon(NodeSettings settings)
     : context_(std::move(settings), static_cast<std::uint64_t>(Support::wallMicros()), Support::randomSeed())
     , guard_(context_)
-    , entry_(context_)
     , gossip_(context_, guard_, Support::randomSeed())
+    , claims_(context_, [this] { return gossip_.members(); })
+    , entry_(context_, claims_)
     , follower_(context_, gossip_)
     , admin_(context_, guard_, gossip_, follower_)
     , callers_(
@@ -65,6 +69,7 @@
     peers_.start();
     callers_.start();
     gossip_.start();
+    claims_.start();
     follower_.start();
     ticker_ = std::thread([this] { runTicks(); });
     const auto& settings = context_.settings;
@@ -75,13 +80,23 @@
 void Daemon::handlePeer(HTTPServerRequest& request, HTTPServerResponse& response)
 {
     // Callers can't set this header: entries strip the system's own ones.
+    if (request.has(Wire::queryHeader) && Support::pathOf(request.getURI()) == "/balsam/claim")
+        return claims_.handle(request, response);
     if (request.has(Wire::queryHeader))
         return guard_.handleQuery(request, response);
     if (request.has(Wire::attemptHeader))
         return guard_.handle(request, response);
-    if (request.getURI() == "/balsam/members")
+    auto path = Support::pathOf(request.getURI());
+    if (path == "/balsam/members")
         return giveTable(response);
-    if (request.getURI() != "/balsam/head")
+    if (path == newerPath) {
+        auto generation = Support::queryValue(request.getURI(), "generation", "0");
+        std::uint64_t number = 0;
+        std::from_chars(generation.data(), generation.data() + generation.size(), number);
+        follower_.hear(number, Support::queryValue(request.getURI(), "node"));
+        return sendText(response, HTTPResponse::HTTP_OK, "text/plain", "ok\n");
+    }
+    if (path != headPath)
         return guard_.handle(request, response);
     auto active = context_.config.get();
     if (!active)
