Retry budgets, refusals remembered at the entry, and the benches hol and crest

Cause: an entry tried up to four servers for every call, also when all of them refuse, and nine layers could multiply that; nothing measured the crest or head-of-line blocking.

Change: Admission::CallRetries (3 per call, halved per layer, X-Balsam-Retries-Left, and halved by depth where a server forwards only that) and RetryBudget (token bucket per service: retry_ratio per first attempt, 10 saved, 1 a second). Node::RefusalMemory: servers that refused are left out for half their expected wait, 100 ms at most; with all left out the entry refuses at once. It binds only callers refused in the last second, and no call that would go before the refused one, so fair shares stay with the guards. Placement errors (draining, gone, restarted) draw on the call's retries only, since they put no load on a server.

Whether remembering refusals helps the goodput was not measured separately.

--- a/include/balsamreel/Load/Profile.h
+++ b/include/balsamreel/Load/Profile.h
@@ -35,7 +35,7 @@
     std::vector<CallKind> kinds;
 };
 
-/// The profiles that come with the tool: "orders" of at-most-once calls to one service, "tengri", "association", "steady", "idle" whose calls need no work, and "chain" nine deep.
+/// The profiles that come with the tool: "orders" of at-most-once calls to one service, "tengri", "association", "hol", "crest", "steady", "idle" whose calls need no work, and "chain" nine deep.
 std::optional<Profile> findProfile(std::string_view name);
 
 /// Reads "RATE:SECONDS,RATE:SECONDS,..."; nothing if malformed.
--- a/include/balsamreel/Load/Runner.h
+++ b/include/balsamreel/Load/Runner.h
@@ -29,6 +29,7 @@
     Profile profile;
     std::vector<Phase> phases;
     unsigned workers = 256; ///< most calls in flight at once
+    bool isPinned = false; ///< each worker calls one entry only, so that there are no more connections than workers
     std::uint64_t seed = 1;
     Support::Duration deadline = std::chrono::seconds(5);
 };
--- a/include/balsamreel/Node/Context.h
+++ b/include/balsamreel/Node/Context.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Balance/Balancer.h"
 #include "balsamreel/Config/Files.h"
 #include "balsamreel/Config/RouteIndex.h"
+#include "balsamreel/Node/AttemptPolicy.h"
 #include "balsamreel/Node/Exchange.h"
 #include "balsamreel/Support/Endpoint.h"
 #include "balsamreel/Support/Metrics.h"
@@ -111,6 +112,7 @@
     std::atomic<bool> isLeaving{false}; ///< answers close their connections
     std::atomic<bool> refusesCalls{false}; ///< late in a drain: callers are sent away as not run
 
+    AttemptPolicy attemptPolicy;
     std::mutex balancerMutex;
     Balance::Balancer balancer; ///< guarded by balancerMutex
 };
--- a/include/balsamreel/Node/Entry.h
+++ b/include/balsamreel/Node/Entry.h
@@ -32,6 +32,8 @@
     Step deliver(Call&, Exchange&, const Poco::Net::HTTPResponse&, Recovery&);
     Step onRefusal(Call&, Exchange&, const Poco::Net::HTTPResponse&, const RequestBody&);
     SentAttempt fillRequest(const Call&, const Balance::Choice&, Poco::Net::HTTPRequest&);
+    bool mayAttempt(Call&, Support::Instant now);
+    static PolicyCall policyCall(const Call&);
     void giveUp(Call&, const std::string& reason);
     void sendUnknown(Call&, const std::string& reason);
 
--- a/lib/Load/Profile.cpp
+++ b/lib/Load/Profile.cpp
@@ -31,6 +31,20 @@
                 {.name = "readings", .path = "/metrology/readings", .share = 24, .work = milliseconds(4)},
                 {.name = "scan", .path = "/metrology/scan", .share = 1, .work = milliseconds(200), .isLong = true},
             }},
+        // 3% of the work runs 50 times longer.
+        {"hol",
+            {
+                {.name = "readings", .path = "/metrology/readings", .share = 97, .work = milliseconds(8)},
+                {.name = "scan", .path = "/metrology/scan", .share = 3, .work = milliseconds(400), .isLong = true},
+            }},
+        // Shares follow the number of servers of each service, so that all saturate together.
+        {"crest",
+            {
+                {.name = "rules", .path = "/rulebook/rules", .share = 4, .work = milliseconds(100)},
+                {.name = "plots", .path = "/plots/list", .share = 4, .work = milliseconds(100)},
+                {.name = "scores", .path = "/entries/scores", .share = 2, .work = milliseconds(100)},
+                {.name = "fees", .method = "POST", .path = "/entries/fees", .share = 1, .work = milliseconds(100), .isAtMostOnce = true, .requestBytes = 256},
+            }},
         {"association",
             {
                 {.name = "rules", .path = "/rulebook/rules", .share = 40, .work = milliseconds(4)},
--- a/lib/Load/Runner.cpp
+++ b/lib/Load/Runner.cpp
@@ -1,7 +1,9 @@
 #include "balsamreel/Load/Runner.h"
 
+#include "balsamreel/Load/Goodput.h"
 #include "balsamreel/Support/Random.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -81,13 +83,14 @@
         : options_(options)
         , runName_(std::move(runName))
         , random_(seed)
+        , pinned_(seed % options.entries.size())
         , sessions_(options.entries.size())
     {
     }
 
     CallResult call(const CallRecord& record)
     {
-        auto index = random_.below(options_.entries.size());
+        auto index = options_.isPinned ? pinned_ : random_.below(options_.entries.size());
         auto& session = sessions_[index];
         if (!session) {
             const auto& entry = options_.entries[index];
@@ -145,6 +148,7 @@
     const RunOptions& options_;
     std::string runName_;
     Support::Random random_;
+    std::size_t pinned_;
     std::vector<std::unique_ptr<HTTPClientSession>> sessions_;
 };
 
@@ -248,6 +252,11 @@
         root.set(fmt::format("short_p{}_ms", quantile * 100), latencyQuantile(result.calls, quantile, options.profile.kinds, false));
         root.set(fmt::format("long_p{}_ms", quantile * 100), latencyQuantile(result.calls, quantile, options.profile.kinds, true));
     }
+    Poco::JSON::Array goodput;
+    for (double perSecond : goodputOfPhases(options, result))
+        goodput.add(perSecond);
+    root.set("goodput_per_s", goodput);
+    root.set("recovery_s", recoverySeconds(options, result));
     root.set("at_most_once_executions", result.executions);
     root.set("ran_twice", result.ranTwice);
     root.set("false_not_run", result.falseNotRun);
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -1,5 +1,6 @@
 #include "balsamreel/Node/Entry.h"
 
+#include "balsamreel/Admission/Ticket.h"
 #include "balsamreel/Node/AnswerCapture.h"
 #include "balsamreel/Node/CallTrace.h"
 #include "balsamreel/Support/Http.h"
@@ -40,6 +41,13 @@
     return answer.get(Wire::outcomeHeader, "");
 }
 
+// Refusals that say where work can't go, not that there is too much of it.
+bool isPlacementReason(const std::string& reason)
+{
+    constexpr std::string_view reasons[] = {"draining", "guard-restarted", "server-unreachable"};
+    return std::ranges::find(reasons, reason) != std::end(reasons);
+}
+
 } // namespace
 
 struct Entry::Call {
@@ -60,6 +68,8 @@
     unsigned attempts = 0;
     bool isAtMostOnce = false;
     bool mayHaveRun = false; ///< an attempt of repeatable work was sent and its outcome is not known
+    Admission::CallRetries retries{0, std::nullopt};
+    bool isPlacementError = false; ///< the last attempt met no overload, only a server that is gone
 };
 
 bool Entry::readCall(Call& call)
@@ -87,6 +97,7 @@
     call.deadline = call.startedAt + allowed;
     constexpr std::uint64_t maximumDepth = 64;
     call.depth = std::min(maximumDepth, numberHeader(call.request, Wire::depthHeader).value_or(0));
+    call.retries = Admission::CallRetries(call.depth, numberHeader(call.request, Wire::retriesLeftHeader));
     call.callId = call.request.get(Wire::callHeader, "");
     if (call.callId.empty())
         call.callId = fmt::format("{:x}-{:x}", context_.attemptIncarnation, context_.nextAttempt++);
@@ -107,6 +118,7 @@
     request.set(Wire::guardHeader, std::to_string(choice.guardIncarnation));
     request.set(Wire::remainingHeader, std::to_string((call.deadline - monotonicNow()).count()));
     request.set(Wire::depthHeader, std::to_string(call.depth));
+    request.set(Wire::retriesLeftHeader, std::to_string(call.retries.passedOn()));
     request.set(Wire::priorityHeader, std::to_string(call.route->priority));
     request.set(Wire::callerHeader, call.request.clientAddress().host().toString());
     request.set(Wire::routeHeader, call.route->name);
@@ -162,6 +174,7 @@
 {
     if (error == ExchangeError::CallerLeft || error == ExchangeError::RequestCut)
         return Step::Answered;
+    call.isPlacementError = error == ExchangeError::Unreachable;
     if (error == ExchangeError::Unreachable) {
         call.lastRefusal = "unreachable";
         return Step::TryAnother;
@@ -202,6 +215,10 @@
 Entry::Step Entry::onRefusal(Call& call, Exchange& exchange, const HTTPResponse& answer, const RequestBody& body)
 {
     call.lastRefusal = answer.get(Wire::reasonHeader, "refused");
+    auto stamp = Wire::parseLoadStamp(answer.get(Wire::loadHeader, ""));
+    call.retryAfter = stamp ? Duration(stamp->waitMicros) : Duration::zero();
+    call.isPlacementError = isPlacementReason(call.lastRefusal);
+    context_.attemptPolicy.refused(monotonicNow(), policyCall(call), call.excluded.back(), call.lastRefusal, call.retryAfter);
     // The short body is read so that the connection can be used again.
     exchange.relay(answer, true, [](const char*, std::size_t) { return true; });
     if (!body.isSpent())
@@ -252,6 +269,29 @@
     return deliver(call, exchange, answer, recovery);
 }
 
+// Servers that are known to refuse are left out; with all of them left out the call is refused here.
+bool Entry::mayAttempt(Call& call, Instant now)
+{
+    auto policy = policyCall(call);
+    auto& attempts = context_.attemptPolicy;
+    if (!attempts.mayAttempt(now, policy, call.attempts, call.isPlacementError, call.retries)) {
+        context_.metrics.add(fmt::format("balsam_entry_retries_denied_total{{service=\"{}\"}}", policy.service));
+        return false;
+    }
+    auto refusing = attempts.refusing(now, policy);
+    if (refusing.empty())
+        return true;
+    call.excluded.insert(call.excluded.end(), refusing.begin(), refusing.end());
+    call.lastRefusal = std::string(Support::nameOf(Admission::refusalReasonNames, Admission::RefusalReason::Overloaded));
+    context_.metrics.add(fmt::format("balsam_entry_steered_total{{service=\"{}\"}}", policy.service));
+    return true;
+}
+
+PolicyCall Entry::policyCall(const Call& call)
+{
+    return {call.service->name, call.request.clientAddress().host().toString(), {call.depth, call.route->priority}, call.service->retryRatio};
+}
+
 void Entry::handle(HTTPServerRequest& request, HTTPServerResponse& response)
 {
     InFlight::Scope scope(context_.inFlight);
@@ -267,6 +307,10 @@
             giveUp(call, call.lastRefusal);
             break;
         }
+        if (!isNaive && !mayAttempt(call, now)) {
+            giveUp(call, call.lastRefusal);
+            break;
+        }
         std::optional<Balance::Choice> choice;
         {
             std::lock_guard lock(context_.balancerMutex);
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -307,6 +307,7 @@
     call.trace.step("dispatched", "server={} depth={}", call.server.text(), call.ticket.depth);
     outgoing.set(Wire::callHeader, request.get(Wire::callHeader, ""));
     outgoing.set(Wire::depthHeader, std::to_string(call.ticket.depth + 1));
+    outgoing.set(Wire::retriesLeftHeader, request.get(Wire::retriesLeftHeader, "0"));
     outgoing.set(Wire::remainingHeader, std::to_string(remaining.count()));
 
     // At-most-once work goes on without its entry, which may come back for the answer.
--- a/tools/balsam-load/main.cpp
+++ b/tools/balsam-load/main.cpp
@@ -15,9 +15,10 @@
     std::vector<Support::SettingSpec> specs{
         {.flag = "entries", .environment = "BALSAM_LOAD_ENTRIES", .kind = SettingKind::EndpointList, .help = "addresses to call", .isRequired = true},
         {.flag = "servers", .environment = "BALSAM_LOAD_SERVERS", .kind = SettingKind::EndpointList, .help = "stand-ins whose execution logs are checked at the end"},
-        {.flag = "profile", .environment = "BALSAM_LOAD_PROFILE", .fallback = "steady", .help = "kinds of calls", .choices = {"idle", "steady", "chain", "orders", "tengri", "association"}},
+        {.flag = "profile", .environment = "BALSAM_LOAD_PROFILE", .fallback = "steady", .help = "kinds of calls", .choices = {"idle", "steady", "chain", "orders", "tengri", "hol", "crest", "association"}},
         {.flag = "phases", .environment = "BALSAM_LOAD_PHASES", .fallback = "200:5", .help = "arrival rates: CALLS_PER_S:SECONDS,..."},
         {.flag = "workers", .environment = "BALSAM_LOAD_WORKERS", .kind = SettingKind::Integer, .fallback = "256", .minimum = 1, .maximum = 2000, .help = "most calls in flight at once"},
+        {.flag = "pinned", .environment = "BALSAM_LOAD_PINNED", .kind = SettingKind::Switch, .help = "each connection in flight stays with one entry; bounds the connections an entry gets"},
         {.flag = "deadline-ms", .environment = "BALSAM_LOAD_DEADLINE_MS", .kind = SettingKind::Integer, .fallback = "5000", .minimum = 1, .maximum = 600'000, .unit = "milliseconds", .help = "deadline sent with each call"},
         {.flag = "seed", .environment = "BALSAM_LOAD_SEED", .kind = SettingKind::Integer, .fallback = "1", .minimum = 0, .maximum = 1e9, .help = "seed of the arrivals"},
         {.flag = "tables", .environment = "BALSAM_LOAD_TABLES", .help = "existing folder for series.tsv and quantiles.tsv, see utils/plot"},
@@ -34,6 +35,7 @@
     Load::RunOptions options{entries, settings.endpoints("servers"), *Load::findProfile(settings.text("profile")), *phases};
     options.workers = static_cast<unsigned>(settings.integer("workers"));
     options.deadline = std::chrono::milliseconds(settings.integer("deadline-ms"));
+    options.isPinned = settings.isOn("pinned");
     options.seed = static_cast<std::uint64_t>(settings.integer("seed"));
     auto result = Load::runLoad(options);
     if (!settings.isOn("json"))
