--- a/lib/Node/Gossip.cpp
+++ b/lib/Node/Gossip.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(50);
-constexpr std::size_t watchersPerDomain = 2;
 constexpr unsigned maximumDatagramsPerTick = 256;
 
 Wire::MemberRecord selfRecord(const Context& context)
@@ -45,6 +44,7 @@
     : context_(context)
     , guard_(guard)
     , swim_({}, selfRecord(context), seed)
+    , prober_(context, guard)
     , socket_(Poco::Net::SocketAddress(context.settings.peer.host, context.settings.peer.port), true)
 {
     swim_.setSeeds(context.settings.seeds);
@@ -77,21 +77,24 @@
     return records;
 }
 
-std::optional<Wire::MemberRecord> Gossip::newerPeer() const
+std::optional<Wire::MemberRecord> Gossip::newerPeer(Support::Random& random) const
 {
+    auto active = context_.config.get();
+    std::uint64_t highest = active ? active->head.generation : 0;
+    std::vector<const Membership::Member*> newest;
     std::lock_guard lock(mutex_);
-    return swim_.newerPeer();
-}
-
-bool Gossip::isWatcher() const
-{
-    std::lock_guard lock(mutex_);
-    std::size_t before = 0;
     for (const auto& [node, member] : swim_.members()) {
-        if (isServing(member.record) && member.record.domain == context_.settings.domain && node < context_.settings.node)
-            ++before;
+        if (!isServing(member.record) || member.generation < highest)
+            continue;
+        if (member.generation > highest)
+            newest.clear();
+        else if (newest.empty())
+            continue;
+        highest = member.generation;
+        newest.push_back(&member);
     }
-    return before < watchersPerDomain;
+    // All that follow it share the fetches, in whichever domain they are.
+    return newest.empty() ? std::nullopt : std::optional(newest[random.below(newest.size())]->record);
 }
 
 void Gossip::run()
@@ -110,6 +113,7 @@
         try {
             if (!socket_.poll(timeout, Poco::Net::Socket::SELECT_READ))
                 return;
+            timeout = 0;
             Poco::Net::SocketAddress from;
             int size = socket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
             Wire::Message message;
@@ -120,10 +124,15 @@
             context_.metrics.add("balsam_gossip_received_bytes_total", size);
             auto& clock = context_.timeline.clock();
             clock.observe(message.envelope.time, wallMicros());
+            Support::Endpoint sender{from.host().toString(), from.port()};
+            if (Prober::isForProber(message)) {
+                send(prober_.receive(monotonicNow(), sender, message));
+                continue;
+            }
             std::vector<Membership::Outgoing> outgoing;
             {
                 std::lock_guard lock(mutex_);
-                outgoing = swim_.receive(monotonicNow(), {from.host().toString(), from.port()}, message, clock.tick(wallMicros()));
+                outgoing = swim_.receive(monotonicNow(), sender, message, clock.tick(wallMicros()));
             }
             send(outgoing);
         } catch (const Poco::Exception&) {
@@ -146,6 +155,8 @@
         recordChanges();
     }
     send(outgoing);
+    send(prober_.tick(now));
+    prober_.sent(monotonicNow());
     publish(now);
 }
 
