--- a/lib/Load/Runner.cpp
+++ b/lib/Load/Runner.cpp
@@ -1,5 +1,6 @@
 #include "balsamreel/Load/Runner.h"
 
+#include "balsamreel/Load/Goodput.h"
 #include "balsamreel/Support/Random.h"
 
 #include <Poco/JSON/Array.h>
@@ -82,6 +83,7 @@
         : options_(options)
         , runName_(std::move(runName))
         , random_(seed)
+        , pinned_(seed % options.entries.size())
         , sessions_(options.entries.size())
     {
     }
@@ -89,7 +91,7 @@
     void call(CallRecord& record)
     {
         constexpr Duration repeatPause = std::chrono::milliseconds(100);
-        record.entry = static_cast<std::uint32_t>(random_.below(options_.entries.size()));
+        record.entry = static_cast<std::uint32_t>(options_.isPinned ? pinned_ : random_.below(options_.entries.size()));
         record.result = callOnce(record);
         auto end = monotonicNow() + 2 * options_.deadline;
         while (options_.profile.kinds[record.kind].isKeyed && isRepeated(record.result) && monotonicNow() < end) {
@@ -174,6 +176,7 @@
     const RunOptions& options_;
     std::string runName_;
     Support::Random random_;
+    std::size_t pinned_;
     std::vector<std::unique_ptr<HTTPClientSession>> sessions_;
 };
 
@@ -293,6 +296,11 @@
         root.set(fmt::format("short_p{}_ms", quantile * 100), latencyQuantile(result.calls, quantile, options.profile.kinds, false));
         root.set(fmt::format("long_p{}_ms", quantile * 100), latencyQuantile(result.calls, quantile, options.profile.kinds, true));
     }
+    Poco::JSON::Array goodput;
+    for (double perSecond : goodputOfPhases(options, result))
+        goodput.add(perSecond);
+    root.set("goodput_per_s", goodput);
+    root.set("recovery_s", recoverySeconds(options, result));
     root.set("at_most_once_executions", result.executions);
     root.set("ran_twice", result.ranTwice);
     root.set("false_not_run", result.falseNotRun);
