Let a watch on a kept connection wait its whole time

Cause: idle store calls did not fall with the longer rhythm of the follower (8.0 calls/s at 12 nodes, 4 expected). The session hands its timeouts to the socket only when it connects, so a watch on a kept connection ended as failed after the 2 s of other calls. The new test is red without the change. Ruled out: status writes (7 PUT in all in a trial with 8 nodes) and early answers of the stand-in.

--- a/lib/Store/Client.cpp
+++ b/lib/Store/Client.cpp
@@ -200,6 +200,9 @@
         auto timeout = timespanOf(options_.timeout);
         auto deadline = Support::monotonicNow() + options_.timeout + request.wait;
         connection.session.setTimeout(timeout, timeout, timespanOf(options_.timeout + request.wait));
+        // The session hands its timeouts to the socket only when it connects.
+        if (connection.session.connected())
+            connection.session.socket().setReceiveTimeout(timespanOf(options_.timeout + request.wait));
         HTTPRequest head(request.method, request.uri, HTTPRequest::HTTP_1_1);
         head.setKeepAlive(true);
         head.setContentLength(static_cast<std::streamsize>(request.body.size()));
--- a/unittests/Store/ClientTest.cpp
+++ b/unittests/Store/ClientTest.cpp
@@ -92,6 +92,17 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
 }
 
+TEST_F(ClientTest, AWatchOnAKeptConnectionWaitsLongerThanOtherCalls)
+{
+    Client client(endpoint_, std::chrono::milliseconds(500));
+    Object object;
+    EXPECT_EQ(client.get("k", object), StoreError::NotFound);
+    std::uint64_t newest = 0;
+    EXPECT_FALSE(client.watch("k", 7, std::chrono::milliseconds(1000), newest));
+    EXPECT_EQ(newest, 7U);
+    EXPECT_EQ(service_.openConnections(), 1);
+}
+
 TEST_F(ClientTest, StaysWithinItsBudget)
 {
     ClientOptions options;
