--- a/include/balsamreel/Node/Context.h
+++ b/include/balsamreel/Node/Context.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Balance/Balancer.h"
 #include "balsamreel/Config/Files.h"
 #include "balsamreel/Config/RouteIndex.h"
+#include "balsamreel/Node/AttemptPolicy.h"
 #include "balsamreel/Node/Exchange.h"
 #include "balsamreel/Support/Endpoint.h"
 #include "balsamreel/Support/Metrics.h"
@@ -100,7 +101,7 @@
     }
 
     NodeSettings settings;
-    std::uint64_t incarnation; ///< wall micros at the start
+    std::atomic<std::uint64_t> incarnation; ///< wall micros at the start; raised if an earlier start had a later one
     std::uint64_t attemptIncarnation; ///< random, so that no two starts share attempt ids
     std::atomic<std::uint64_t> nextAttempt{1};
     Support::Timeline timeline;
@@ -111,6 +112,7 @@
     std::atomic<bool> isLeaving{false}; ///< answers close their connections
     std::atomic<bool> refusesCalls{false}; ///< late in a drain: callers are sent away as not run
 
+    AttemptPolicy attemptPolicy;
     std::mutex balancerMutex;
     Balance::Balancer balancer; ///< guarded by balancerMutex
 };
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -120,7 +120,7 @@
     return options;
 }
 
-void Guard::announce(Instant now, const Announcement& announcement)
+std::size_t Guard::announce(Instant now, const Announcement& announcement)
 {
     const auto& record = announcement.record;
     auto options = gateOptions(record);
@@ -135,6 +135,8 @@
     server.gate.setDraining(isDraining_ || isLeavingServer);
     if (isChange)
         context_.timeline.record("server", fmt::format("address={} service={} state={}", record.address.text(), record.service, Support::nameOf(Wire::serverStateNames, record.state)));
+    auto load = server.gate.load(now);
+    return load.running + load.queued;
 }
 
 std::vector<Wire::ServerRecord> Guard::records() const
@@ -336,6 +338,7 @@
     call.trace.step("dispatched", "server={} depth={}", call.server.text(), call.ticket.depth);
     outgoing.set(Wire::callHeader, request.get(Wire::callHeader, ""));
     outgoing.set(Wire::depthHeader, std::to_string(call.ticket.depth + 1));
+    outgoing.set(Wire::retriesLeftHeader, request.get(Wire::retriesLeftHeader, "0"));
     outgoing.set(Wire::remainingHeader, std::to_string(remaining.count()));
 
     // At-most-once work goes on without its entry, which may come back for the answer.
