--- /dev/null
+++ b/benchmarks/Admission.cpp
@@ -0,0 +1,106 @@
+// Cost of the decisions of when a call runs.
+#include "balsamreel/Admission/Gate.h"
+#include "balsamreel/Admission/RetryBudget.h"
+#include "balsamreel/Node/RefusalMemory.h"
+
+#include <benchmark/benchmark.h>
+
+#include <deque>
+
+namespace balsamreel::Admission {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned callerCount = 50;
+
+Ticket ticketOf(std::uint64_t id, Support::Instant now)
+{
+    Ticket ticket;
+    ticket.id = id;
+    ticket.route = id % 33 == 0 ? "long" : "short";
+    ticket.caller = std::to_string(id % callerCount);
+    ticket.depth = id % 3;
+    ticket.priority = id % 5;
+    ticket.deadline = now + 10s;
+    return ticket;
+}
+
+// One call through a gate with a free slot: offer and finish.
+void offerAndFinish(benchmark::State& state)
+{
+    Gate gate({.slots = 20});
+    Support::Instant now{};
+    std::uint64_t id = 0;
+    for (auto _ : state) {
+        now += 10us;
+        benchmark::DoNotOptimize(gate.offer(now, ticketOf(++id, now)));
+        benchmark::DoNotOptimize(gate.finish(now + 1ms, id, true));
+    }
+}
+BENCHMARK(offerAndFinish);
+
+// One call offered past saturation, with so many slots and a queue that is as long as it may get.
+void offerPastSaturation(benchmark::State& state)
+{
+    Gate gate({.slots = static_cast<std::uint32_t>(state.range(0))});
+    Support::Instant now{};
+    std::uint64_t id = 0;
+    std::deque<std::uint64_t> running;
+    auto offer = [&] {
+        if (std::holds_alternative<Admitted>(gate.offer(now, ticketOf(++id, now))))
+            running.push_back(id);
+        benchmark::DoNotOptimize(gate.takeEvicted());
+    };
+    for (auto _ : state) {
+        // Five calls arrive for every two that end.
+        now += 10us;
+        offer();
+        if (id % 5 >= 2 || running.empty())
+            continue;
+        auto ended = running.front();
+        running.pop_front();
+        for (const auto& resolution : gate.finish(now, ended, true)) {
+            if (std::holds_alternative<Admitted>(resolution.decision))
+                running.push_back(resolution.ticket);
+        }
+    }
+}
+BENCHMARK(offerPastSaturation)->Arg(9)->Arg(20)->Arg(200)->Arg(2000);
+
+void tickWithFullQueue(benchmark::State& state)
+{
+    Gate gate({.slots = static_cast<std::uint32_t>(state.range(0)), .maximumQueueWait = 1h});
+    Support::Instant now{};
+    for (std::int64_t id = 1; id <= 9 * state.range(0); ++id)
+        gate.offer(now, ticketOf(static_cast<std::uint64_t>(id), now + 1h));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(gate.tick(now));
+}
+BENCHMARK(tickWithFullQueue)->Arg(20)->Arg(200);
+
+void retryBudget(benchmark::State& state)
+{
+    RetryBudget budget;
+    Support::Instant now{};
+    for (auto _ : state) {
+        now += 10us;
+        budget.earn(now, "service", 0.1);
+        benchmark::DoNotOptimize(budget.spend(now, "service"));
+    }
+}
+BENCHMARK(retryBudget);
+
+void refusalMemory(benchmark::State& state)
+{
+    Node::RefusalMemory memory;
+    Support::Instant now{};
+    for (std::uint16_t port = 1; port <= 10; ++port)
+        memory.refused(now, "service", {"node", {"127.0.0.1", port}}, "caller", {0, 5}, 1h);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(memory.refusing(now, "service", "caller", {0, 5}));
+}
+BENCHMARK(refusalMemory);
+
+} // namespace
+} // namespace balsamreel::Admission
--- a/include/balsamreel/Node/AttemptPolicy.h
+++ b/include/balsamreel/Node/AttemptPolicy.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Admission/RetryBudget.h"
 #include "balsamreel/Node/RefusalMemory.h"
 
+#include <cstdint>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -18,11 +19,18 @@
     double retryRatio = 0; ///< retries per first attempt
 };
 
+/// How the attempt before ended, as far as it matters for another one.
+enum class FailureKind : std::uint8_t { Misplaced, ///< the server is gone, leaves, or points elsewhere; nothing ran
+    Refused, ///< the server has too much work; nothing ran
+    MayHaveRun };
+
+/// What kind of failure a guard's refusal is.
+FailureKind failureOf(const std::string& refusalReason);
+
 class AttemptPolicy {
 public:
-    /// Asked before each attempt; false if the call has to give up. A placement error has put no load
-    /// on any server, so its repetition is bounded by the call's own retries alone.
-    bool mayAttempt(Support::Instant now, const PolicyCall&, unsigned attemptsMade, bool isPlacementError, Admission::CallRetries&);
+    /// Asked before each attempt; false if the call has to give up.
+    bool mayAttempt(Support::Instant now, const PolicyCall&, unsigned attemptsMade, FailureKind, Admission::CallRetries&);
 
     /// A guard has refused the call.
     void refused(Support::Instant now, const PolicyCall&, const Balance::ServerId&, const std::string& reason, Support::Duration expectedWait);
--- a/lib/Load/Goodput.cpp
+++ b/lib/Load/Goodput.cpp
@@ -3,6 +3,7 @@
 #include "balsamreel/Load/Series.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace balsamreel::Load {
 
@@ -60,9 +61,9 @@
 double recoverySeconds(const RunOptions& options, const RunResult& result)
 {
     auto last = static_cast<std::uint32_t>(options.phases.size() - 1);
-    double start = 0;
+    Support::Duration start{};
     for (std::uint32_t phase = 0; phase < last; ++phase)
-        start += options.phases[phase].seconds;
+        start += Support::Duration(std::llround(options.phases[phase].seconds * microsPerSecond));
     std::vector<CallRecord> normal;
     std::vector<std::vector<CallRecord>> steps;
     for (const auto& call : result.calls) {
@@ -70,7 +71,7 @@
             normal.push_back(call);
         if (call.phase != last)
             continue;
-        auto step = static_cast<std::size_t>((secondsOf(call.dueAt) - start) / secondsOf(seriesStep));
+        auto step = static_cast<std::size_t>(std::max(Support::Duration::zero(), call.dueAt - start) / seriesStep);
         steps.resize(std::max(steps.size(), step + 1));
         steps[step].push_back(call);
     }
--- a/lib/Node/AttemptPolicy.cpp
+++ b/lib/Node/AttemptPolicy.cpp
@@ -2,20 +2,35 @@
 
 #include "balsamreel/Admission/Ticket.h"
 
+#include <algorithm>
+#include <array>
+#include <string_view>
+
 namespace balsamreel::Node {
 
 using Support::Instant;
 
-bool AttemptPolicy::mayAttempt(Instant now, const PolicyCall& call, unsigned attemptsMade, bool isPlacementError, Admission::CallRetries& retries)
+FailureKind failureOf(const std::string& refusalReason)
+{
+    constexpr std::array<std::string_view, 4> misplaced{"draining", "diverted", "guard-restarted", "server-unreachable"};
+    return std::ranges::find(misplaced, refusalReason) == misplaced.end() ? FailureKind::Refused : FailureKind::Misplaced;
+}
+
+// Only attempts that may have run multiply through the layers, since each of them may have called further
+// servers, so only they draw on the call's own retries. A misplaced one costs a message; a refused one costs one
+// too, but in a swing all calls are refused, so these draw on the service's budget.
+bool AttemptPolicy::mayAttempt(Instant now, const PolicyCall& call, unsigned attemptsMade, FailureKind failure, Admission::CallRetries& retries)
 {
     std::lock_guard lock(mutex_);
     if (attemptsMade == 0) {
         budget_.earn(now, call.service, call.retryRatio);
         return true;
     }
-    if (retries.left() == 0 || (!isPlacementError && !budget_.spend(now, call.service)))
+    if (failure == FailureKind::Misplaced)
+        return true;
+    if (failure == FailureKind::MayHaveRun && retries.left() == 0)
         return false;
-    return retries.take();
+    return budget_.spend(now, call.service) && (failure == FailureKind::Refused || retries.take());
 }
 
 // Only these reasons are about the server's load; a deadline that is too near is about the call.
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -41,13 +41,6 @@
     return answer.get(Wire::outcomeHeader, "");
 }
 
-// Refusals that say where work can't go, not that there is too much of it.
-bool isPlacementReason(const std::string& reason)
-{
-    constexpr std::string_view reasons[] = {"draining", "guard-restarted", "server-unreachable"};
-    return std::ranges::find(reasons, reason) != std::end(reasons);
-}
-
 } // namespace
 
 struct Entry::Call {
@@ -70,7 +63,7 @@
     std::unique_ptr<KeyedCall> keyed; ///< null if the call brings no key
     bool mayHaveRun = false; ///< an attempt of repeatable work was sent and its outcome is not known
     Admission::CallRetries retries{0, std::nullopt};
-    bool isPlacementError = false; ///< the last attempt met no overload, only a server that is gone
+    FailureKind lastFailure = FailureKind::Misplaced;
 };
 
 bool Entry::readCall(Call& call)
@@ -198,7 +191,7 @@
 {
     if (error == ExchangeError::CallerLeft || error == ExchangeError::RequestCut)
         return Step::Answered;
-    call.isPlacementError = error == ExchangeError::Unreachable;
+    call.lastFailure = error == ExchangeError::Unreachable ? FailureKind::Misplaced : FailureKind::MayHaveRun;
     if (error == ExchangeError::Unreachable) {
         call.lastRefusal = "unreachable";
         return Step::TryAnother;
@@ -244,7 +237,7 @@
     call.lastRefusal = answer.get(Wire::reasonHeader, "refused");
     auto stamp = Wire::parseLoadStamp(answer.get(Wire::loadHeader, ""));
     call.retryAfter = stamp ? Duration(stamp->waitMicros) : Duration::zero();
-    call.isPlacementError = isPlacementReason(call.lastRefusal);
+    call.lastFailure = call.mayHaveRun ? FailureKind::MayHaveRun : failureOf(call.lastRefusal);
     context_.attemptPolicy.refused(monotonicNow(), policyCall(call), call.excluded.back(), call.lastRefusal, call.retryAfter);
     // The short body is read so that the connection can be used again.
     exchange.relay(answer, true, [](const char*, std::size_t) { return true; });
@@ -309,7 +302,7 @@
 {
     auto policy = policyCall(call);
     auto& attempts = context_.attemptPolicy;
-    if (!attempts.mayAttempt(now, policy, call.attempts, call.isPlacementError, call.retries)) {
+    if (!attempts.mayAttempt(now, policy, call.attempts, call.lastFailure, call.retries)) {
         context_.metrics.add(fmt::format("balsam_entry_retries_denied_total{{service=\"{}\"}}", policy.service));
         return false;
     }
--- /dev/null
+++ b/unittests/Load/GoodputTest.cpp
@@ -0,0 +1,48 @@
+// Goodput by phase and the time to recover, from records made by hand.
+#include "balsamreel/Load/Goodput.h"
+
+#include <gtest/gtest.h>
+
+namespace balsamreel::Load {
+namespace {
+
+using namespace std::chrono_literals;
+
+RunOptions threePhases()
+{
+    RunOptions options;
+    options.profile.kinds = {CallKind{.name = "k"}};
+    options.phases = {{10, 1}, {20, 1}, {10, 1}};
+    options.deadline = 500ms;
+    return options;
+}
+
+/// A hundred calls a second; from the given instant until the other one they take the latency given.
+RunResult steadyCalls(Support::Duration slowFrom, Support::Duration slowTo, Support::Duration slowLatency)
+{
+    RunResult result;
+    for (Support::Duration due{}; due < 3s; due += 10ms) {
+        auto latency = due >= slowFrom && due < slowTo ? slowLatency : Support::Duration(10ms);
+        result.calls.push_back({result.calls.size(), 0, static_cast<std::uint32_t>(due / 1s), CallResult::Good, due, latency});
+    }
+    return result;
+}
+
+TEST(Goodput, CountsCallsInThePhaseInWhichTheyEndAndOnlyThoseInTime)
+{
+    auto goodput = goodputOfPhases(threePhases(), steadyCalls(900ms, 1s, 200ms));
+    EXPECT_NEAR(goodput[0], 90, 1e-9);
+    EXPECT_NEAR(goodput[1], 109, 1e-9);
+    EXPECT_NEAR(goodput[2], 100, 1e-9);
+    EXPECT_DOUBLE_EQ(goodputOfPhases(threePhases(), steadyCalls(0s, 3s, 600ms))[1], 0);
+}
+
+TEST(Goodput, RecoveryLastsUntilTheLastStepThatIsNotNormal)
+{
+    EXPECT_DOUBLE_EQ(recoverySeconds(threePhases(), steadyCalls(1s, 2s, 300ms)), 0);
+    EXPECT_DOUBLE_EQ(recoverySeconds(threePhases(), steadyCalls(1s, 2350ms, 300ms)), 0.4);
+    EXPECT_DOUBLE_EQ(recoverySeconds(threePhases(), steadyCalls(1s, 3s, 300ms)), 1);
+}
+
+} // namespace
+} // namespace balsamreel::Load
