--- a/include/balsamreel/Membership/ByteBudget.h
+++ b/include/balsamreel/Membership/ByteBudget.h
@@ -22,7 +22,7 @@
     /// True if the bytes may be spent with a reserve left for what is more urgent.
     bool allows(double bytes, double reserve = 0) const { return level_ >= bytes + reserve; }
 
-    /// Takes the bytes, into debt if need be; the debt is bounded by the burst.
+    /// Takes the bytes, into debt if need be.
     void spend(double bytes);
 
     double level() const { return level_; }
--- a/include/balsamreel/Membership/Swim.h
+++ b/include/balsamreel/Membership/Swim.h
@@ -35,7 +35,7 @@
     double repairBytesPerSecond = 500; ///< digests and the records they ask for, sent
     double repairBurstBytes = 3000;
     double tableBytesPerSecond = 700; ///< whole tables fetched and given, on average
-    double tableBurstBytes = 40'000;
+    double tableBurstBytes = 6000; ///< a larger table goes out at once and is paid for afterwards
 };
 
 /// A datagram to send.
--- a/lib/Membership/ByteBudget.cpp
+++ b/lib/Membership/ByteBudget.cpp
@@ -15,8 +15,7 @@
 
 void ByteBudget::spend(double bytes)
 {
-    // Bounded, so that a flood from outside can't silence this node for long.
-    level_ = std::max(-burst_, level_ - bytes);
+    level_ -= bytes;
 }
 
 } // namespace balsamreel::Membership
--- a/unittests/Wire/MessagesTest.cpp
+++ b/unittests/Wire/MessagesTest.cpp
@@ -42,6 +42,24 @@
         EXPECT_TRUE(decodeTable(text.substr(0, size), records)) << size;
 }
 
+TEST(Messages, ATableOfTheTargetSizeFitsItsBudget)
+{
+    std::vector<MemberRecord> records;
+    for (unsigned index = 0; index < 1400; ++index) {
+        auto host = "10.20." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1);
+        MemberRecord record{"server-" + std::to_string(index), 1'790'000'000'000'000 + index * 7'919'003ULL, index % 5, MemberState::Alive, {host, 7101}, {host, 7102}, "domain-" + std::to_string(index % 6), "region-" + std::to_string(index % 2), {}};
+        record.servers.push_back({"service-" + std::to_string(index / 10), {host, 8080}, 9, ServerState::Ready});
+        records.push_back(record);
+    }
+    auto text = encodeTable(records);
+    RecordProperty("record_bytes", static_cast<int>(encodedSize(records.back())));
+    RecordProperty("table_bytes", static_cast<int>(text.size()));
+    EXPECT_LT(text.size(), 40'000U);
+    std::vector<MemberRecord> decoded;
+    ASSERT_FALSE(decodeTable(text, decoded));
+    EXPECT_EQ(decoded, records);
+}
+
 TEST(Messages, AFingerprintHoldsForAllButVersionAndState)
 {
     auto record = sampleMessage().updates.front();
