--- a/unittests/Membership/SwimFuzzTest.cpp
+++ b/unittests/Membership/SwimFuzzTest.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using Wire::MemberState;
 
 // Each run takes minutes of virtual time, so fewer are made unless RC_PARAMS says how many.
 bool limitRuns()
