Read numbers in one place; split the large Swim.cpp

No behaviour changes but one: a generation or a state query's number with letters behind it counts as none.

--- /dev/null
+++ b/include/balsamreel/Support/Numbers.h
@@ -0,0 +1,22 @@
+// Numbers from text that comes from outside.
+#pragma once
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace balsamreel::Support {
+
+/// Reads a text that is a number from its first to its last character; nothing if any of it is not.
+template <typename Number>
+std::optional<Number> parseNumber(std::string_view text)
+{
+    Number number{};
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+} // namespace balsamreel::Support
--- a/lib/Membership/Swim.cpp
+++ b/lib/Membership/Swim.cpp
@@ -1,7 +1,8 @@
 #include "balsamreel/Membership/Swim.h"
 
+#include "SwimTurn.h"
+
 #include <algorithm>
-#include <bit>
 #include <cmath>
 #include <tuple>
 #include <utility>
@@ -19,19 +20,6 @@
 
 namespace {
 
-// Room for news in a datagram that carries something else, and in one that carries nothing else.
-constexpr std::size_t ridingRoomBytes = 600;
-constexpr std::size_t newsRoomBytes = 1100;
-// Kept free of records, so that a storm of joins can't hold back news of failures.
-constexpr std::size_t statesRoomBytes = 150;
-constexpr std::size_t leastNewsRoomBytes = 250;
-constexpr std::size_t maximumSyncDatagrams = 2;
-// With more buckets that differ, one whole table in compressed form is cheaper than datagrams of records.
-constexpr std::ptrdiff_t fetchedBuckets = 12;
-// Until tables differ in little, they are compared more often.
-constexpr Duration resyncDelay = std::chrono::seconds(1);
-constexpr std::size_t recordsForJoiner = 4;
-constexpr std::size_t stormRecords = 16;
 constexpr unsigned maximumHealth = 4;
 // Tables up to two to this power of members get the plain suspicion timeout.
 constexpr double smallTableLog2 = 5;
@@ -42,7 +30,6 @@
 constexpr Duration healingTime = std::chrono::seconds(5);
 constexpr Duration goneScanInterval = std::chrono::seconds(5);
 constexpr Duration suspicionScanInterval = std::chrono::milliseconds(250);
-
 // Orders records of one member: a later start, then a later version, then the worse state.
 bool isNewer(const MemberRecord& candidate, const MemberRecord& known)
 {
@@ -50,22 +37,8 @@
     return rank(candidate) > rank(known);
 }
 
-StateUpdate stateOf(const MemberRecord& record, std::uint32_t fingerprint)
-{
-    return {Wire::nameHash(record.node), fingerprint, record.version, record.state};
-}
-
 } // namespace
 
-/// One call of tick() or receive().
-struct Swim::Turn {
-    Instant now;
-    HybridTime time;
-    Endpoint from; ///< of the message that is answered
-    std::string sender;
-    std::vector<Outgoing> outgoing;
-};
-
 Swim::Swim(SwimOptions options, MemberRecord self, std::uint64_t seed)
     : options_(options)
     , self_(std::move(self))
@@ -122,119 +95,6 @@
 
 // News
 
-unsigned Swim::retransmits() const
-{
-    return options_.retransmitFactor * static_cast<unsigned>(std::bit_width(members().size() + 1));
-}
-
-void Swim::spreadContent(const std::string& node)
-{
-    stateNews_.erase(node);
-    contentNews_.push(node);
-}
-
-void Swim::spreadState(const std::string& node)
-{
-    // Where the whole record is news it tells the state too.
-    contentNews_.contains(node) ? contentNews_.push(node) : stateNews_.push(node);
-}
-
-void Swim::changeSelf(bool isContent)
-{
-    ++self_.version;
-    ++revision_;
-    selfFingerprint_ = Wire::fingerprint(self_);
-    isContent ? spreadContent(self_.node) : spreadState(self_.node);
-}
-
-std::size_t Swim::fillContent(Message& message, std::size_t room)
-{
-    auto kept = stateNews_.empty() ? 0 : statesRoomBytes;
-    contentNews_.take(retransmits(), [&](const std::string& node) {
-        const auto* member = table_.find(node);
-        if (node != self_.node && !member)
-            return NewsQueue::Take::Dropped;
-        const auto& record = member ? member->record : self_;
-        auto size = Wire::encodedSize(record);
-        if (size + kept > room || message.updates.size() == Wire::maximumRecordsPerMessage)
-            return NewsQueue::Take::Full;
-        room -= size;
-        message.updates.push_back(record);
-        return NewsQueue::Take::Sent;
-    });
-    return room;
-}
-
-std::size_t Swim::fillStates(Message& message, std::size_t room)
-{
-    stateNews_.take(retransmits(), [&](const std::string& node) {
-        const auto* member = table_.find(node);
-        if (node != self_.node && !member)
-            return NewsQueue::Take::Dropped;
-        if (room < StateUpdate::encodedBytes || message.states.size() == Wire::maximumStatesPerMessage)
-            return NewsQueue::Take::Full;
-        room -= StateUpdate::encodedBytes;
-        message.states.push_back(member ? stateOf(member->record, member->fingerprint) : stateOf(self_, selfFingerprint_));
-        return NewsQueue::Take::Sent;
-    });
-    return room;
-}
-
-void Swim::fillNews(Message& message, std::size_t room)
-{
-    // News that is taken from its queue counts as sent, so the budget is asked first.
-    room = std::min(room, static_cast<std::size_t>(std::max(0.0, newsBudget_.level())));
-    if (newsCount() == 0)
-        return;
-    if (room < leastNewsRoomBytes) {
-        ++counts_.putOff;
-        return;
-    }
-    auto left = fillStates(message, fillContent(message, room));
-    newsBudget_.spend(static_cast<double>(room - left));
-}
-
-void Swim::addSubject(Message& message, const Member& receiver) const
-{
-    // A member that is not taken for alive, here or by another, is told so with what it is sent: only it can refute that.
-    auto claim = stateOf(receiver.record, receiver.fingerprint);
-    if (receiver.isDoubted && claim.state == MemberState::Alive)
-        claim.state = MemberState::Dead;
-    if (claim.state != MemberState::Alive)
-        message.states.push_back(claim);
-}
-
-bool Swim::push(Turn& turn, Urgency urgency, const Endpoint& to, Message message)
-{
-    // Pings and their answers are few and small, and silence would look like a failure, so they are never held back.
-    if (urgency == Urgency::Repair) {
-        auto bytes = static_cast<double>(Wire::encode(message).size() + Wire::datagramHeaderBytes);
-        if (!repairBudget_.allows(bytes)) {
-            ++counts_.putOff;
-            return false;
-        }
-        repairBudget_.spend(bytes);
-    }
-    turn.outgoing.push_back({to, std::move(message)});
-    return true;
-}
-
-bool Swim::send(Turn& turn, Urgency urgency, const Endpoint& to, Wire::Payload payload, const Member* receiver)
-{
-    Message message{{self_.node, turn.time, generation_}, std::move(payload), {}, {}};
-    if (receiver)
-        addSubject(message, *receiver);
-    if (std::holds_alternative<Wire::Ack>(message.payload))
-        message.states.push_back(stateOf(self_, selfFingerprint_));
-    if (urgency == Urgency::News)
-        newsBudget_.spend(static_cast<double>(Wire::encode(message).size() + Wire::datagramHeaderBytes));
-    if (urgency != Urgency::Repair || members().empty())
-        fillNews(message, urgency == Urgency::News ? newsRoomBytes : ridingRoomBytes);
-    return push(turn, urgency, to, std::move(message));
-}
-
-// Merging
-
 void Swim::changeState(Instant now, Member& member, MemberState state)
 {
     bool wasLive = isLive(member.record.state);
@@ -505,48 +365,6 @@
 
 // Repair
 
-Wire::Digest Swim::makeDigest(bool isReply) const
-{
-    Wire::Digest digest;
-    digest.isReply = isReply;
-    digest.buckets = table_.buckets();
-    digest.liveCount = static_cast<std::uint32_t>(table_.liveCount());
-    if (isLive(self_.state))
-        digest.buckets[MemberTable::bucketOf(self_.node)] ^= MemberTable::hashOf(self_);
-    return digest;
-}
-
-std::uint32_t Swim::tableHash() const
-{
-    auto digest = makeDigest(false);
-    constexpr std::uint32_t multiplier = 16'777'619;
-    std::uint32_t hash = 0;
-    for (auto bucket : digest.buckets)
-        hash = (hash ^ bucket) * multiplier;
-    return hash;
-}
-
-void Swim::tickSync(Turn& turn)
-{
-    if (turn.now < nextSync_)
-        return;
-    bool isJoining = syncsLeftToJoin_ > 0;
-    // Spread out, so that nodes that were started together do not sync together.
-    auto jitter = std::chrono::duration_cast<Duration>(options_.syncInterval * (random_.fraction() - 0.5) / 2);
-    // One table tells much news at less cost than datagrams of records.
-    bool isStorm = contentNews_.size() > stormRecords;
-    auto interval = isJoining ? options_.joinInterval : options_.syncInterval + jitter;
-    nextSync_ = turn.now + (isStorm || !isSettled_ ? std::min(interval, resyncDelay) : interval);
-    if (members().empty())
-        return askSeed(turn);
-    for (const auto* member : table_.randomLive(random_, 1, self_.node)) {
-        bool isSent = send(turn, Urgency::Repair, member->record.peer, makeDigest(false), member);
-        syncsLeftToJoin_ -= isSent && isJoining ? 1 : 0;
-        // Nothing is answered if the tables are the same.
-        isSettled_ = isSent;
-    }
-}
-
 void Swim::tickDeadPings(Turn& turn)
 {
     if (turn.now < nextDeadPing_)
@@ -565,111 +383,6 @@
     askSeed(turn);
 }
 
-void Swim::sendRecords(Turn& turn, const Wire::Digest& digest)
-{
-    auto own = makeDigest(true);
-    auto differs = [&](const std::string& node) {
-        auto bucket = MemberTable::bucketOf(node);
-        return own.buckets[bucket] != digest.buckets[bucket];
-    };
-    std::vector<const MemberRecord*> records;
-    for (const auto& [node, member] : members()) {
-        if (differs(node))
-            records.push_back(&member.record);
-    }
-    std::ranges::shuffle(records, random_.engine());
-    // A node that knows nobody needs only some members to turn to.
-    if (digest.liveCount == 0)
-        records.resize(std::min(records.size(), recordsForJoiner));
-    if (differs(self_.node))
-        records.insert(records.begin(), &self_);
-
-    Message message{{self_.node, turn.time, generation_}, Wire::Records(), {}, {}};
-    std::size_t datagrams = 0;
-    std::size_t room = newsRoomBytes;
-    for (const auto* record : records) {
-        auto size = Wire::encodedSize(*record);
-        if (size > room || message.updates.size() == Wire::maximumRecordsPerMessage) {
-            if (!push(turn, Urgency::Repair, turn.from, std::exchange(message, {message.envelope, Wire::Records(), {}, {}})) || ++datagrams == maximumSyncDatagrams)
-                return;
-            room = newsRoomBytes;
-        }
-        room -= size;
-        message.updates.push_back(*record);
-    }
-    if (!message.updates.empty())
-        push(turn, Urgency::Repair, turn.from, std::move(message));
-}
-
-void Swim::onDigest(Turn& turn, const Wire::Digest& digest)
-{
-    auto own = makeDigest(true);
-    if (own.buckets == digest.buckets) {
-        hasTable_ = true;
-        return;
-    }
-    isSettled_ = false;
-    nextSync_ = std::min(nextSync_, turn.now + resyncDelay);
-    std::ptrdiff_t differing = 0;
-    for (std::size_t bucket = 0; bucket < own.buckets.size(); ++bucket)
-        differing += own.buckets[bucket] != digest.buckets[bucket] ? 1 : 0;
-    const auto* sender = table_.find(turn.sender);
-    // A node that has only just started has nothing to be fetched.
-    bool hasMuch = 2 * digest.liveCount >= table_.liveCount();
-    if (differing > fetchedBuckets && hasMuch)
-        wantedTable_ = turn.from;
-    // A node that knows nobody yet is first given some members to turn to.
-    if (!digest.isReply && digest.liveCount > 0)
-        send(turn, Urgency::Repair, turn.from, own, sender);
-    // What differs in much is fetched as a whole table instead.
-    if (differing <= fetchedBuckets || digest.liveCount == 0)
-        sendRecords(turn, digest);
-}
-
-std::optional<Endpoint> Swim::takeTableRequest(Instant now)
-{
-    tableBudget_.refill(now);
-    if (!wantedTable_ || !tableBudget_.allows(0))
-        return std::nullopt;
-    auto from = *std::exchange(wantedTable_, std::nullopt);
-    // Many nodes that join at once know the same few seeds, so they ask others as soon as they know any.
-    if (auto others = table_.randomLive(random_, 1, self_.node); !hasTable_ && !others.empty())
-        from = others.front()->record.peer;
-    ++counts_.tableFetches;
-    return from;
-}
-
-void Swim::onTable(Instant now, const std::vector<MemberRecord>& records, std::size_t bytes)
-{
-    spendTable(bytes);
-    hasTable_ = true;
-    isSettled_ = false;
-    nextSync_ = std::min(nextSync_, now + resyncDelay);
-    for (const auto& record : records) {
-        merge(now, record);
-        // What stands in another's table has been told before.
-        if (record.node == self_.node)
-            continue;
-        contentNews_.erase(record.node);
-        stateNews_.erase(record.node);
-    }
-}
-
-std::optional<std::vector<MemberRecord>> Swim::giveTable(Instant now)
-{
-    tableBudget_.refill(now);
-    if (!tableBudget_.allows(0)) {
-        ++counts_.tableRefusals;
-        return std::nullopt;
-    }
-    std::vector<MemberRecord> records{self_};
-    for (const auto& [node, member] : members())
-        records.push_back(member.record);
-    return records;
-}
-
-// Turns
-
 void Swim::tickGossip(Turn& turn)
 {
     if (turn.now < nextGossip_ || (newsCount() == 0 && generationRounds_ == 0))
--- /dev/null
+++ b/lib/Membership/SwimTurn.h
@@ -0,0 +1,24 @@
+// What the parts of Swim share: one call of it, and the room for news in datagrams.
+#pragma once
+
+#include "balsamreel/Membership/Swim.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Membership {
+
+constexpr std::size_t newsRoomBytes = 1100; ///< in a datagram that carries nothing else
+constexpr std::size_t leastNewsRoomBytes = 250; ///< a datagram for news alone is not worth sending for less
+
+/// One call of tick() or receive().
+struct Swim::Turn {
+    Support::Instant now;
+    Support::HybridTime time;
+    Support::Endpoint from; ///< of the message that is answered
+    std::string sender;
+    std::vector<Outgoing> outgoing;
+};
+
+} // namespace balsamreel::Membership
--- a/lib/Node/AttemptQuery.cpp
+++ b/lib/Node/AttemptQuery.cpp
@@ -1,13 +1,13 @@
 #include "balsamreel/Node/AttemptQuery.h"
 
 #include "balsamreel/Support/Http.h"
+#include "balsamreel/Support/Numbers.h"
 #include "balsamreel/Wire/Headers.h"
 
 #include <Poco/Exception.h>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <thread>
 
 namespace balsamreel::Node {
@@ -34,9 +34,7 @@
 
 std::int64_t numberOf(const std::string& text)
 {
-    std::int64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
+    return Support::parseNumber<std::int64_t>(text).value_or(0);
 }
 
 Poco::Timespan timespanOf(Duration duration)
--- a/lib/Node/Daemon.cpp
+++ b/lib/Node/Daemon.cpp
@@ -2,11 +2,10 @@
 
 #include "balsamreel/Node/HeadExchange.h"
 #include "balsamreel/Support/Log.h"
+#include "balsamreel/Support/Numbers.h"
 #include "balsamreel/Support/Random.h"
 #include "balsamreel/Wire/Headers.h"
 
-#include <charconv>
-
 namespace balsamreel::Node {
 
 using Poco::Net::HTTPResponse;
@@ -90,10 +89,8 @@
     if (path == "/balsam/members")
         return giveTable(response);
     if (path == newerPath) {
-        auto generation = Support::queryValue(request.getURI(), "generation", "0");
-        std::uint64_t number = 0;
-        std::from_chars(generation.data(), generation.data() + generation.size(), number);
-        follower_.hear(number, Support::queryValue(request.getURI(), "node"));
+        auto generation = Support::parseNumber<std::uint64_t>(Support::queryValue(request.getURI(), "generation"));
+        follower_.hear(generation.value_or(0), Support::queryValue(request.getURI(), "node"));
         return sendText(response, HTTPResponse::HTTP_OK, "text/plain", "ok\n");
     }
     if (path != headPath)
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -4,12 +4,12 @@
 #include "balsamreel/Node/AnswerCapture.h"
 #include "balsamreel/Node/CallTrace.h"
 #include "balsamreel/Support/Http.h"
+#include "balsamreel/Support/Numbers.h"
 #include "balsamreel/Wire/Headers.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace balsamreel::Node {
 
@@ -29,11 +29,7 @@
 
 std::optional<std::uint64_t> numberHeader(const HTTPServerRequest& request, const char* name)
 {
-    auto text = request.get(name, "");
-    std::uint64_t number = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    bool isWhole = error == std::errc() && end == text.data() + text.size() && !text.empty();
-    return isWhole ? std::optional(number) : std::nullopt;
+    return Support::parseNumber<std::uint64_t>(request.get(name, ""));
 }
 
 std::string outcomeOf(const HTTPResponse& answer)
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -5,12 +5,12 @@
 #include "balsamreel/Node/CallTrace.h"
 #include "balsamreel/Support/Http.h"
 #include "balsamreel/Support/Log.h"
+#include "balsamreel/Support/Numbers.h"
 #include "balsamreel/Wire/Headers.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace balsamreel::Node {
@@ -37,11 +37,8 @@
 
 std::uint64_t numberHeader(const HTTPServerRequest& request, const char* name, std::uint64_t fallback, std::uint64_t maximum)
 {
-    auto text = request.get(name, "");
-    std::uint64_t number = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    bool isWhole = error == std::errc() && end == text.data() + text.size() && !text.empty();
-    return isWhole ? std::min(number, maximum) : fallback;
+    auto number = Support::parseNumber<std::uint64_t>(request.get(name, ""));
+    return number ? std::min(*number, maximum) : fallback;
 }
 
 Admission::LaneHint laneHintOf(const std::string& workClass)
--- a/lib/Operator/Events.cpp
+++ b/lib/Operator/Events.cpp
@@ -1,12 +1,13 @@
 #include "balsamreel/Operator/Events.h"
 
+#include "balsamreel/Support/Numbers.h"
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <sstream>
 #include <tuple>
 
@@ -56,7 +57,6 @@
         auto value = equals == std::string::npos ? std::string() : argument.substr(equals + 1);
         if (value.empty())
             return fmt::format("'{}' must be KEY=VALUE", argument);
-        double seconds = 0;
         if (key == "node")
             filter.node = value;
         else if (key == "server")
@@ -67,7 +67,7 @@
             filter.kind = value;
         else if (key != "since")
             return fmt::format("'{}' is no filter; take node, server, call, kind or since", key);
-        else if (auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), seconds); error != std::errc() || end != value.data() + value.size() || seconds < 0)
+        else if (auto seconds = Support::parseNumber<double>(value); !seconds || !(*seconds >= 0))
             return fmt::format("since must be a number of seconds, not '{}'", value);
         else
             filter.sinceSeconds = seconds;
--- a/lib/Standins/FakeServer.cpp
+++ b/lib/Standins/FakeServer.cpp
@@ -2,6 +2,7 @@
 
 #include "balsamreel/Standins/Chain.h"
 #include "balsamreel/Support/Log.h"
+#include "balsamreel/Support/Numbers.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -12,7 +13,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <ostream>
 #include <sstream>
 
@@ -38,9 +38,7 @@
 
 std::uint64_t numberOr(const std::string& text, std::uint64_t fallback)
 {
-    std::uint64_t number = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return error == std::errc() && end == text.data() + text.size() ? number : fallback;
+    return Support::parseNumber<std::uint64_t>(text).value_or(fallback);
 }
 
 bool hasCallerLeft(HTTPServerRequest& request)
--- a/lib/Support/Endpoint.cpp
+++ b/lib/Support/Endpoint.cpp
@@ -1,8 +1,8 @@
 #include "balsamreel/Support/Endpoint.h"
+#include "balsamreel/Support/Numbers.h"
 
 #include <arpa/inet.h>
 #include <array>
-#include <charconv>
 
 namespace balsamreel::Support {
 
@@ -38,13 +38,11 @@
         host = host.substr(1, host.size() - 2);
 
     Endpoint endpoint;
-    auto portText = text.substr(colon + 1);
-    auto [end, error] = std::from_chars(portText.data(), portText.data() + portText.size(), endpoint.port);
-    if (error != std::errc() || end != portText.data() + portText.size() || portText.empty())
-        return std::nullopt;
+    auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
     auto number = normalNumber(std::string(host));
-    if (!number)
+    if (!port || !number)
         return std::nullopt;
+    endpoint.port = *port;
     endpoint.host = *number;
     return endpoint;
 }
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -1,8 +1,9 @@
 #include "balsamreel/Support/Settings.h"
 
+#include "balsamreel/Support/Numbers.h"
+
 #include <algorithm>
 #include <cassert>
-#include <charconv>
 #include <cstdio>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -18,16 +19,6 @@
 constexpr int firstSettingCode = 100;
 constexpr const char* versionText = "0.1.0";
 
-template <typename Number>
-std::optional<Number> parseNumber(const std::string& text)
-{
-    Number number{};
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 std::string checkRange(const SettingSpec& spec, double number)
 {
     if (number >= spec.minimum && number <= spec.maximum)
