Keep the connection of a refused call that has no body

Cause: the entry closed the connection with each early refusal, since it took every body for unread.

Change: only a request that announces a body closes it; the test whether one does stood three times and now has a name.

Measured: new test ARefusedCallWithoutBodyKeepsItsConnection passes.

--- a/include/balsamreel/Node/Exchange.h
+++ b/include/balsamreel/Node/Exchange.h
@@ -176,6 +176,9 @@
 /// Streams an exchange's answer to the caller. AnswerCut: the caller's connection has been cut too.
 std::error_code relayAnswer(Exchange&, const Poco::Net::HTTPResponse& answer, Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&, const Session::Sink& copy = {});
 
+/// The request announces a body.
+bool requestHasBody(const Poco::Net::HTTPServerRequest&);
+
 /// An answer of this status to this method carries a body.
 bool answerHasBody(const std::string& method, int status);
 
--- a/lib/Node/Entry.cpp
+++ b/lib/Node/Entry.cpp
@@ -66,7 +66,7 @@
 {
     auto refuse = [&](int status, const std::string& reason) {
         context_.metrics.add(fmt::format("balsam_entry_rejected_total{{reason=\"{}\"}}", reason));
-        sendNotRun(call.response, status, reason, Duration::zero(), true);
+        sendNotRun(call.response, status, reason, Duration::zero(), requestHasBody(call.request));
         return false;
     };
     if (context_.refusesCalls)
--- a/lib/Node/Exchange.cpp
+++ b/lib/Node/Exchange.cpp
@@ -245,8 +245,7 @@
 
 std::error_code RequestBody::readFirst()
 {
-    bool hasBody = request_.getChunkedTransferEncoding() || (request_.hasContentLength() && request_.getContentLength64() > 0);
-    if (!hasBody) {
+    if (!requestHasBody(request_)) {
         isWhole_ = true;
         return {};
     }
@@ -417,6 +416,11 @@
     Support::sendText(response, status, "text/plain", "not run: " + reason + "\n");
 }
 
+bool requestHasBody(const HTTPServerRequest& request)
+{
+    return request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0);
+}
+
 bool answerHasBody(const std::string& method, int status)
 {
     constexpr int firstFinalStatus = 200;
--- a/lib/Node/Guard.cpp
+++ b/lib/Node/Guard.cpp
@@ -279,7 +279,7 @@
     call.trace.step("refused", "reason={}", reason);
     context_.metrics.add(fmt::format("balsam_guard_refused_total{{reason=\"{}\"}}", reason));
     setStamp(call, response);
-    bool isBodyUnread = !call.holdsBody && (request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0));
+    bool isBodyUnread = !call.holdsBody && requestHasBody(request);
     sendNotRun(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, refusal.expectedWait, isBodyUnread);
 }
 
@@ -408,7 +408,7 @@
 // A call that another server can take is turned away while this one is slow or failing. Nothing of it is kept.
 bool Guard::divert(const Call& call, const HTTPServerRequest& request, HTTPServerResponse& response)
 {
-    bool hasBody = request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0);
+    bool hasBody = requestHasBody(request);
     if (hasBody || !request.has(Wire::mayDivertHeader) || !paces_.isDiverting(monotonicNow(), call.server))
         return false;
     context_.metrics.add("balsam_guard_diverted_total");
--- a/unittests/Node/DaemonTest.cpp
+++ b/unittests/Node/DaemonTest.cpp
@@ -118,6 +118,25 @@
     }
 }
 
+TEST(Daemon, ARefusedCallWithoutBodyKeepsItsConnection)
+{
+    Deployment deployment(1);
+    ASSERT_TRUE(deployment.waitReady());
+    Poco::Net::HTTPClientSession session(deployment.entries[0].host, deployment.entries[0].port);
+    session.setKeepAlive(true);
+    for (const char* method : {"GET", "POST"}) {
+        Poco::Net::HTTPRequest request(method, "/nowhere", "HTTP/1.1");
+        std::string body = std::string(method) == "POST" ? "unread" : "";
+        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        std::string text;
+        Support::readBody(session.receiveResponse(response), megabyte, text);
+        EXPECT_EQ(response.getStatus(), 404);
+        EXPECT_EQ(response.getKeepAlive(), body.empty()) << method;
+    }
+}
+
 TEST(Daemon, RefusesBadAnnouncements)
 {
     Deployment deployment(1);
