Count calls in the plot when they end, and only those in time

Cause: looking at the plot of the crest, the baseline seemed to deliver twice the capacity: late answers counted as good at the time they were due.

Change: the series counts good calls when they end and within the deadline, as the goodput figure does; the plot says "in time".

--- a/include/balsamreel/Load/Series.h
+++ b/include/balsamreel/Load/Series.h
@@ -10,7 +10,8 @@
 /// Width of one row of the series.
 constexpr Support::Duration seriesStep = std::chrono::milliseconds(100);
 
-/// Rows by due time: seconds, calls offered/s, good/s, not run/s, p50 and p99 of short calls in ms.
+/// Rows of seconds, calls offered/s, calls that ended well and in time/s, not run/s, p50 and p99 of short calls in ms.
+/// Good calls count when they end, all others when they are due.
 std::string seriesTable(const RunOptions&, const RunResult&);
 
 /// Rows of quantile, short ms, long ms.
--- a/lib/Load/Series.cpp
+++ b/lib/Load/Series.cpp
@@ -1,5 +1,7 @@
 #include "balsamreel/Load/Series.h"
 
+#include "balsamreel/Load/Goodput.h"
+
 #include <fmt/format.h>
 
 #include <fstream>
@@ -18,16 +20,23 @@
     std::uint64_t notRun = 0;
 };
 
-std::vector<Step> groupBySteps(const RunResult& result)
+Step& stepAt(std::vector<Step>& steps, Support::Duration time)
+{
+    auto index = static_cast<std::size_t>(time / seriesStep);
+    if (index >= steps.size())
+        steps.resize(index + 1);
+    return steps[index];
+}
+
+// A call counts as good when it ends, and only if it ends in time: late answers are no service at the crest.
+std::vector<Step> groupBySteps(const RunOptions& options, const RunResult& result)
 {
     std::vector<Step> steps;
     for (const auto& call : result.calls) {
-        auto index = static_cast<std::size_t>(call.dueAt / seriesStep);
-        if (index >= steps.size())
-            steps.resize(index + 1);
-        steps[index].calls.push_back(call);
-        steps[index].good += call.result == CallResult::Good ? 1 : 0;
-        steps[index].notRun += call.result == CallResult::NotRun ? 1 : 0;
+        stepAt(steps, call.dueAt).calls.push_back(call);
+        stepAt(steps, call.dueAt).notRun += call.result == CallResult::NotRun ? 1 : 0;
+        if (isGoodInTime(options, call))
+            ++stepAt(steps, call.dueAt + call.latency).good;
     }
     return steps;
 }
@@ -38,7 +47,7 @@
 {
     constexpr double tail = 0.99;
     std::string text = "seconds\toffered_per_s\tgood_per_s\tnot_run_per_s\tshort_p50_ms\tshort_p99_ms\n";
-    auto steps = groupBySteps(result);
+    auto steps = groupBySteps(options, result);
     const auto& kinds = options.profile.kinds;
     for (std::size_t index = 0; index < steps.size(); ++index) {
         const auto& step = steps[index];
--- a/unittests/Load/GoodputTest.cpp
+++ b/unittests/Load/GoodputTest.cpp
@@ -1,5 +1,6 @@
 // Goodput by phase and the time to recover, from records made by hand.
 #include "balsamreel/Load/Goodput.h"
+#include "balsamreel/Load/Series.h"
 
 #include <gtest/gtest.h>
 
@@ -44,5 +45,15 @@
     EXPECT_DOUBLE_EQ(recoverySeconds(threePhases(), steadyCalls(1s, 3s, 300ms)), 1);
 }
 
+// The plot once counted late answers as good when they were due, so that the baseline looked better than all capacity.
+TEST(Series, CountsACallWhenItEndsAndOnlyInTime)
+{
+    auto table = seriesTable(threePhases(), steadyCalls(0s, 3s, 600ms));
+    EXPECT_NE(table.find("\n1\t100\t0\t0\t"), std::string::npos) << table;
+    table = seriesTable(threePhases(), steadyCalls(900ms, 1s, 200ms));
+    EXPECT_NE(table.find("\n0.9\t100\t10\t0\t"), std::string::npos) << table;
+    EXPECT_NE(table.find("\n1.1\t100\t200\t0\t"), std::string::npos) << table;
+}
+
 } // namespace
 } // namespace balsamreel::Load
