--- /dev/null
+++ b/include/balsamreel/Relay/Entry.h
@@ -0,0 +1,103 @@
+// The way of a caller's request: classified, placed, offered to guards, answered once.
+#pragma once
+
+#include "balsamreel/Balance/Balancer.h"
+#include "balsamreel/Relay/CallerConnection.h"
+#include "balsamreel/Relay/EventLog.h"
+#include "balsamreel/Relay/Guard.h"
+#include "balsamreel/Relay/Peers.h"
+#include "balsamreel/Relay/RetryAllowance.h"
+#include "balsamreel/Relay/RouteTable.h"
+#include "balsamreel/Support/Metrics.h"
+#include "balsamreel/Support/Random.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace balsamreel::Relay {
+
+class Entry {
+public:
+    Entry(Loop&, const NodeSettings&, HeaderNames, std::uint64_t boot, Guard&, Peers&, EventLog&, Support::Metrics&);
+
+    void setRoutes(std::shared_ptr<RouteTable> routes) { routes_ = std::move(routes); }
+
+    /// The servers that may get work have changed.
+    void updateServers();
+
+    void handle(const std::shared_ptr<CallerConnection>&, IncomingRequest&&);
+    void callerLeft(const std::shared_ptr<CallerConnection>&);
+
+    std::size_t openCount() const { return calls_.size(); }
+
+private:
+    struct Attempt {
+        std::uint64_t serial = 0;
+        Balance::ServerId server;
+        Instant startedAt;
+        Instant placedAt;
+    };
+    struct Call {
+        std::shared_ptr<CallerConnection> caller;
+        std::shared_ptr<RouteTable> routes; ///< keeps the route alive
+        const Route* route = nullptr;
+        std::string service;
+        Request request;
+        Instant arrivedAt;
+        Instant deadline;
+        Instant goal;
+        std::vector<Balance::ServerId> tried;
+        unsigned placements = 0; ///< offers to guards
+        unsigned sent = 0; ///< offers that may have reached a server
+        bool mayHaveRun = false;
+        std::optional<ServerAnswer> failedAnswer; ///< a server error that is delivered if no repeat does better
+        std::optional<Attempt> attempt;
+        boost::asio::steady_timer timer;
+
+        explicit Call(Loop& loop)
+            : timer(loop)
+        {
+        }
+    };
+    using CallPointer = std::shared_ptr<Call>;
+
+    void refuseUnrouted(const std::shared_ptr<CallerConnection>&, const Request&, Reason, std::uint32_t status);
+    void place(const CallPointer&, NotRun ifNone);
+    void offer(const CallPointer&, const Balance::Choice&, const std::string& instance);
+    void onOutcome(const CallPointer&, std::uint64_t serial, const Outcome&, const Wire::LoadStamp&);
+    void noteOutcome(const CallPointer&, const Attempt&, const Outcome&, const Wire::LoadStamp&);
+    void onNotRun(const CallPointer&, const NotRun&);
+    void onUnknown(const CallPointer&, const Unknown&);
+    void onAnswer(const CallPointer&, const ServerAnswer&);
+    bool mayRepeat(const Call&);
+    void onDeadline(const CallPointer&);
+    void cancelAttempt(const CallPointer&);
+    void finish(const CallPointer&, const ServerAnswer&, Reason);
+    void refuse(const CallPointer&, const NotRun&);
+    void fail(const CallPointer&, Reason, std::uint32_t status);
+    Offer offerOf(const Call&, std::uint64_t serial, const std::string& instance, Instant now) const;
+    std::optional<std::string> instanceOf(const Balance::ServerId&) const;
+
+    Loop& loop_;
+    const NodeSettings& settings_;
+    HeaderNames names_;
+    std::uint64_t boot_;
+    Guard& guard_;
+    Peers& peers_;
+    EventLog& log_;
+    Support::Metrics& metrics_;
+    std::shared_ptr<RouteTable> routes_;
+    Balance::Balancer balancer_;
+    RetryAllowance allowance_;
+    Support::Random random_;
+    std::uint64_t nextSerial_ = 1;
+    std::unordered_map<CallerConnection*, CallPointer> calls_;
+    std::map<Balance::ServerId, std::string> instances_;
+};
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/include/balsamreel/Relay/Guard.h
@@ -0,0 +1,94 @@
+// The only way to the server beside this node: admits, runs and settles offers.
+#pragma once
+
+#include "balsamreel/Admission/Gate.h"
+#include "balsamreel/Relay/EventLog.h"
+#include "balsamreel/Relay/HttpClientConnection.h"
+#include "balsamreel/Relay/LocalServer.h"
+#include "balsamreel/Relay/PeerMessages.h"
+#include "balsamreel/Relay/SettledOffers.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <compare>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace balsamreel::Relay {
+
+class Guard {
+public:
+    using Done = std::function<void(const Outcome&, const Wire::LoadStamp&)>;
+    using LoadReader = std::function<std::optional<LoadReport>(std::string_view)>;
+
+    Guard(Loop&, const NodeSettings&, HeaderNames, LoadReader, EventLog&);
+
+    /// Takes an offer; the callback comes once, possibly before this returns, unless the offer is cancelled.
+    void offer(const OfferKey&, const Offer&, Done);
+
+    /// Nobody waits for the offer any more. Idempotent work is stopped; other work that runs goes on to its end.
+    void cancel(const OfferKey&);
+
+    /// Gives the outcome of an offer to a sender that lost its link; an unknown one will never run.
+    void inquire(const OfferKey&, Done);
+
+    /// An announcement of the server; false if it is not accepted as news of it.
+    bool announce(const Announcement&);
+    void leave(const std::string& instance, std::optional<std::int64_t> bornMillis);
+
+    /// The node leaves: no other node is to offer work any more.
+    void close();
+
+    ServerStatus status() const;
+    Wire::LoadStamp stamp() const;
+    std::size_t openCount() const { return jobs_.size(); }
+
+    /// Called whenever status() has changed.
+    std::function<void()> onStatusChange;
+
+private:
+    struct Job {
+        OfferKey key;
+        Offer offer;
+        Done done; ///< empty: nobody waits
+        Instant offeredAt;
+        Instant deadline;
+        Instant startedAt;
+        std::shared_ptr<HttpClientConnection> connection; ///< set while it runs
+    };
+
+    void refuse(const OfferKey&, const Offer&, NotRun, const Done&);
+    void resolve(const std::vector<Admission::Resolution>&);
+    void run(std::uint64_t ticket);
+    void settle(std::uint64_t ticket, HttpResult);
+    void conclude(std::uint64_t ticket, const Outcome&, bool hasSucceeded);
+    Outcome outcomeOf(const Job&, HttpResult);
+    Outcome outcomeOf(const Job&, HttpReply&&);
+    std::vector<Header> addedHeaders(const Job&, Instant now) const;
+    std::shared_ptr<HttpClientConnection> takeConnection(bool isIdempotent, Instant now);
+    void changed(const ServerStatus& before);
+    void scheduleTick();
+
+    Loop& loop_;
+    const NodeSettings& settings_;
+    HeaderNames names_;
+    LoadReader readLoad_;
+    EventLog& log_;
+    LocalServer server_;
+    Admission::Gate gate_;
+    std::uint64_t nextTicket_ = 1;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs_;
+    std::map<OfferKey, std::uint64_t> tickets_;
+    SettledOffers settled_;
+    std::vector<std::shared_ptr<HttpClientConnection>> idle_; ///< the last used comes last
+    boost::asio::steady_timer tick_;
+    bool isTickScheduled_ = false;
+    bool isClosed_ = false;
+};
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -0,0 +1,85 @@
+// One HTTP/1.1 connection to a server or to the store: one request at a time, whole answers only.
+#pragma once
+
+#include "balsamreel/Relay/Model.h"
+#include "balsamreel/Relay/PeerLink.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace balsamreel::Relay {
+
+/// A whole answer as it came, with all headers.
+struct HttpReply {
+    std::uint32_t status = 0;
+    boost::beast::http::fields fields;
+    std::string body;
+};
+
+enum class HttpFailure : std::uint8_t { Unreachable, ///< no connection; nothing was sent
+    Broke, ///< ended before the whole answer was in
+    Malformed ///< not an answer to this request
+};
+
+using HttpResult = std::variant<HttpReply, HttpFailure>;
+
+/// Names the answers that belong to a request, where the server can send others.
+struct AnswerMark {
+    std::string header; ///< empty: any answer belongs to the request
+    std::string value;
+};
+
+class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection> {
+public:
+    using Done = std::function<void(HttpResult)>;
+
+    HttpClientConnection(Loop&, Support::Endpoint);
+
+    /// Sends the bytes of one request, after connecting if need be. The callback comes once, unless close() comes first.
+    void exchange(std::string text, AnswerMark, bool isHead, Done);
+
+    /// Ends the connection; a pending callback is dropped.
+    void close();
+
+    /// Open, idle, and not announced by the server to end by now.
+    bool isReusable(Instant now) const;
+    bool wasUsed() const { return isConnected_; }
+    Instant idleSince() const { return idleSince_; }
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void connect();
+    void write();
+    void read();
+    void parse();
+    void parseEnd();
+    void restartParser();
+    bool takeReply();
+    void finish(HttpResult);
+    void noteKeepAlive(const boost::beast::http::fields&);
+
+    Socket socket_;
+    Support::Endpoint server_;
+    boost::beast::flat_buffer input_;
+    std::optional<Parser> parser_;
+    std::string output_;
+    AnswerMark mark_;
+    Done done_;
+    bool isHead_ = false;
+    bool isConnected_ = false;
+    bool isReading_ = false;
+    bool isWritten_ = false;
+    bool isClosed_ = false;
+    bool isLast_ = false; ///< no further request may use this connection
+    Instant idleSince_;
+    Duration idleLimit_;
+};
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/include/balsamreel/Relay/Node.h
@@ -0,0 +1,106 @@
+// The daemon on the event loop: listeners, followers of the store, start and shutdown.
+#pragma once
+
+#include "balsamreel/Relay/CallerConnection.h"
+#include "balsamreel/Relay/Entry.h"
+#include "balsamreel/Relay/EventLog.h"
+#include "balsamreel/Relay/Guard.h"
+#include "balsamreel/Relay/NodeRegistration.h"
+#include "balsamreel/Relay/Peers.h"
+#include "balsamreel/Relay/StoreFollower.h"
+#include "balsamreel/Support/Metrics.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace balsamreel::Relay {
+
+/// What a call on the node's own addresses asks for.
+struct ReadinessQuery { };
+struct ServerLeaves {
+    std::string instance;
+    std::optional<std::int64_t> bornMillis;
+};
+struct MalformedCall { };
+struct UnknownCall { };
+using ControlCall = std::variant<ReadinessQuery, Announcement, ServerLeaves, MalformedCall, UnknownCall>;
+
+/// All that depends on the platform, as pure functions.
+struct PlatformCodec {
+    HeaderNames headers;
+    StoreCodec store;
+    std::function<std::optional<RoutingConfig>(const std::string& content, std::string& error)> readConfig;
+    std::function<std::optional<NodeEntry>(const std::string& content)> readNode;
+    std::function<std::string(const NodeEntry&)> writeNode;
+    std::function<ControlCall(const Request&)> readControl;
+    std::function<ServerAnswer()> acknowledge; ///< of an announcement
+    Guard::LoadReader readLoad;
+    std::string configName; ///< of the object that holds the configuration
+};
+
+class Node {
+public:
+    Node(Loop&, NodeSettings, PlatformCodec, std::function<void()> onReload);
+
+    /// Listens and starts to follow the store.
+    void start();
+
+private:
+    void listen(boost::asio::ip::tcp::acceptor&, const Support::Endpoint&);
+    void accept(boost::asio::ip::tcp::acceptor&, const CallerConnection::Host&);
+    CallerConnection::Host callerHost();
+    CallerConnection::Host controlHost();
+    void onControl(const std::shared_ptr<CallerConnection>&, IncomingRequest&&);
+    ServerAnswer answerControl(const Request&);
+    ServerAnswer onAnnouncement(const Announcement&);
+    ServerAnswer onLeave(const ServerLeaves&);
+    bool isReady() const;
+    void takeConfig(const std::string& content, std::string_view source);
+    void takeNode(const StoredObject&);
+    void waitForSignals();
+    void shutDown();
+    void checkShutdown();
+    void end();
+    void tick();
+    std::string metricsText();
+
+    Loop& loop_;
+    NodeSettings settings_;
+    PlatformCodec codec_;
+    std::function<void()> onReload_;
+    std::uint64_t boot_;
+    Support::Metrics metrics_;
+    EventLog log_;
+    Guard guard_;
+    Peers peers_;
+    Entry entry_;
+    StoreCalls storeCalls_;
+    StoreFollower configFollower_;
+    StoreFollower nodeFollower_;
+    NodeRegistration registration_;
+    boost::asio::ip::tcp::acceptor callerAcceptor_;
+    boost::asio::ip::tcp::acceptor readinessAcceptor_;
+    boost::asio::ip::tcp::acceptor announcementAcceptor_;
+    boost::asio::ip::tcp::acceptor metricsAcceptor_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer tick_;
+    boost::asio::steady_timer shutdownTimer_;
+    std::set<std::shared_ptr<CallerConnection>> callers_;
+    std::uint64_t configVersion_ = 0;
+    std::string configContent_;
+    CallerLimits limits_;
+    Instant shutdownSince_;
+    Instant lastConfigQuery_;
+    bool isShuttingDown_ = false;
+    bool isServerGone_ = false; ///< the server beside this node has said that it ends
+};
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/include/balsamreel/Relay/PeerLink.h
@@ -0,0 +1,58 @@
+// One TCP connection between two nodes that carries frames both ways.
+#pragma once
+
+#include "balsamreel/Relay/PeerMessages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace balsamreel::Relay {
+
+using Loop = boost::asio::io_context;
+using Socket = boost::asio::ip::tcp::socket;
+
+/// Sets what every connection of the node needs: no delay, and an early end of connections that have gone silent.
+void tuneSocket(Socket&);
+
+/// Reads frames until the connection ends; queues frames to write. Ends itself on any error.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+    struct Handlers {
+        std::function<void(PeerMessage&&)> onMessage;
+        std::function<void(const std::string& cause)> onClosed; ///< at most once, never from inside close()
+    };
+
+    explicit PeerLink(Socket);
+
+    void start(Handlers);
+    void send(const PeerMessage&);
+
+    /// Ends the connection; no handler is called any more.
+    void close();
+
+    bool isOpen() const { return isOpen_; }
+
+    /// When the last byte came.
+    Instant heardAt() const { return heardAt_; }
+
+private:
+    void read();
+    bool takeFrames();
+    void write();
+    void fail(const std::string& cause);
+
+    Socket socket_;
+    Handlers handlers_;
+    boost::beast::flat_buffer input_;
+    std::string pending_; ///< frames to write next
+    std::string writing_;
+    bool isOpen_ = true;
+    Instant heardAt_;
+};
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -0,0 +1,150 @@
+// Messages between nodes over TCP: typed, framed, limited in size.
+#pragma once
+
+#include "balsamreel/Relay/Model.h"
+#include "balsamreel/Wire/Headers.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <variant>
+#include <vector>
+
+namespace balsamreel::Relay {
+
+constexpr std::uint8_t peerProtocolVersion = 1;
+/// Length in front of each frame.
+constexpr std::size_t frameHeaderBytes = 4;
+/// Larger than the largest body a caller may send, with its headers.
+constexpr std::size_t maximumFrameBytes = 80U * 1024 * 1024;
+
+/// How other nodes reach a node.
+struct NodeEntry {
+    std::string name;
+    Support::Endpoint peerAddress;
+    std::string domain;
+
+    bool operator==(const NodeEntry&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(name, peerAddress.host, peerAddress.port, domain); }
+};
+
+/// The server beside a node, as that node tells the others.
+struct ServerStatus {
+    std::string service;
+    std::string instance; ///< empty: no server gets work here
+    Support::Endpoint address;
+    std::uint32_t slots = 0;
+    bool isCold = false;
+
+    bool operator==(const ServerStatus&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(service, instance, address.host, address.port, slots, isCold); }
+};
+
+/// First message in both directions.
+struct Hello {
+    std::uint8_t protocol = peerProtocolVersion;
+    NodeEntry sender;
+    std::uint64_t boot = 0; ///< differs in each start of the process
+    std::uint64_t configVersion = 0;
+    ServerStatus status;
+    std::vector<NodeEntry> peers;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(protocol, sender, boot, configVersion, status, peers); }
+};
+
+struct StatusUpdate {
+    ServerStatus status;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(status); }
+};
+
+/// Asks for the configuration if the receiver has a newer one.
+struct ConfigQuery {
+    std::uint64_t version = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(version); }
+};
+
+/// An accepted configuration in the form in which the store holds it.
+struct ConfigDocument {
+    std::string text;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(text); }
+};
+
+/// One attempt at the server beside the receiver.
+struct Offer {
+    std::uint64_t serial = 0; ///< unique per sender and boot
+    std::string instance; ///< the only server process that may run it
+    std::string route;
+    std::uint32_t priority = 0;
+    bool isIdempotent = false;
+    bool isRepeat = false; ///< another server had it before
+    bool isNested = false; ///< a call of a running request
+    std::uint32_t timeoutMicros = 0; ///< left until nobody waits any more
+    std::uint32_t goalMicros = 0; ///< left until the answer loses most of its value
+    std::string originService; ///< of the VM where the request began
+    Request request;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(serial, instance, route, priority, isIdempotent, isRepeat, isNested, timeoutMicros, goalMicros, originService, request); }
+};
+
+/// The end of an offer, with the load of the guard.
+struct OfferResult {
+    std::uint64_t serial = 0;
+    Outcome outcome;
+    Wire::LoadStamp stamp;
+};
+
+/// The caller has left, or the answer is no longer needed.
+struct Cancel {
+    std::uint64_t serial = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(serial); }
+};
+
+/// Asks for the outcome of an offer whose link was lost. The guard answers with an OfferResult; an
+/// offer that it has never seen is refused from then on.
+struct Inquiry {
+    std::uint64_t senderBoot = 0;
+    std::uint64_t serial = 0;
+    std::string instance;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(senderBoot, serial, instance); }
+};
+
+struct Ping {
+    template <typename Archive>
+    void serialize(Archive&) { }
+};
+
+struct Pong {
+    template <typename Archive>
+    void serialize(Archive&) { }
+};
+
+using PeerMessage = std::variant<Hello, StatusUpdate, ConfigQuery, ConfigDocument, Offer, OfferResult, Cancel, Inquiry, Ping, Pong>;
+
+/// A whole frame with its length.
+std::string encodeFrame(const PeerMessage&);
+
+/// The content of a frame, without its length; nothing if it can't be read.
+std::optional<PeerMessage> decodeFrame(std::string_view content);
+
+/// Length of the content that follows; nothing if it is over the limit.
+std::optional<std::size_t> frameLength(std::string_view header);
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/include/balsamreel/Relay/StoreCalls.h
@@ -0,0 +1,79 @@
+// Calls to the object store on the event loop: one at a time on a connection, each with a timeout.
+#pragma once
+
+#include "balsamreel/Relay/HttpClientConnection.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Relay {
+
+/// What the node keeps in the store.
+enum class Collection : std::uint8_t { Configuration,
+    Nodes };
+
+constexpr Support::NameTable<Collection, 2> collectionNames{{{Collection::Configuration, "configuration"}, {Collection::Nodes, "nodes"}}};
+
+/// One call in the store's own protocol.
+struct StoreCall {
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+struct StoredObject {
+    std::string name;
+    std::uint64_t revision = 0;
+    std::string content; ///< the writer's part, as text
+    bool isDeleted = false;
+};
+
+/// A page of a listing, or the changes that a watch gives.
+struct StoreListing {
+    std::vector<StoredObject> objects;
+    std::uint64_t revision = 0; ///< to watch from
+    bool isTruncated = false;
+};
+
+/// Translates between the node's calls and the store's protocol. Pure functions.
+struct StoreCodec {
+    std::function<StoreCall(Collection, const std::string& after)> list;
+    std::function<StoreCall(Collection, std::uint64_t revision, Duration wait)> watch;
+    std::function<StoreCall(Collection, const std::string& name, const std::string& content)> create;
+    std::function<StoreCall(Collection, const StoredObject&)> replace; ///< only if the revision still holds
+    std::function<StoreCall(Collection, const StoredObject&)> remove; ///< only if the revision still holds
+    std::function<std::optional<StoreListing>(const std::string& body)> readListing;
+    std::function<std::optional<StoreListing>(const std::string& body)> readChanges;
+};
+
+/// How a call ended: a whole answer, or none in time.
+struct StoreReply {
+    std::uint32_t status = 0; ///< 0: no answer
+    std::string body;
+};
+
+/// Sends calls, with as many connections as calls are open.
+class StoreCalls {
+public:
+    using Done = std::function<void(StoreReply)>;
+
+    StoreCalls(Loop&, Support::Endpoint store);
+
+    void call(const StoreCall&, Duration timeout, Done);
+    std::uint64_t count() const { return count_; }
+    void close();
+
+private:
+    Loop& loop_;
+    Support::Endpoint store_;
+    std::vector<std::shared_ptr<HttpClientConnection>> idle_;
+    std::uint64_t count_ = 0;
+    bool isClosed_ = false;
+};
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/include/balsamreel/Relay/StoreFollower.h
@@ -0,0 +1,54 @@
+// Follows one collection of the store: lists it, then watches it, and lists again where the history is gone.
+#pragma once
+
+#include "balsamreel/Relay/EventLog.h"
+#include "balsamreel/Relay/StoreCalls.h"
+#include "balsamreel/Support/Random.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace balsamreel::Relay {
+
+class StoreFollower {
+public:
+    struct Handlers {
+        std::function<void(const std::vector<StoredObject>&)> onListing; ///< the whole collection
+        std::function<void(const StoredObject&)> onChange;
+    };
+
+    /// The pause lets changes that come together be told by one watch.
+    StoreFollower(Loop&, StoreCalls&, const StoreCodec&, Collection, Duration pause, std::uint64_t seed, EventLog&, Handlers);
+
+    void start() { list({}); }
+
+    /// The last call to the store was answered.
+    bool isConnected() const { return failures_ == 0 && hasListed_; }
+
+private:
+    void list(const std::string& after);
+    void onPage(const StoreReply&);
+    void watch();
+    void onChanges(const StoreReply&);
+    void failed(const StoreReply&, bool mustList);
+    void reached();
+    void later(Duration, std::function<void()>);
+
+    StoreCalls& calls_;
+    const StoreCodec& codec_;
+    Collection collection_;
+    Duration pause_;
+    Support::Random random_;
+    EventLog& log_;
+    Handlers handlers_;
+    boost::asio::steady_timer timer_;
+    std::vector<StoredObject> listed_; ///< pages so far
+    std::uint64_t revision_ = 0;
+    unsigned failures_ = 0; ///< in a row
+    bool hasListed_ = false;
+};
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/lib/Relay/Entry.cpp
@@ -0,0 +1,332 @@
+#include "balsamreel/Relay/Entry.h"
+
+#include "balsamreel/Relay/HttpText.h"
+#include "balsamreel/Support/Numbers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace balsamreel::Relay {
+
+namespace {
+
+constexpr std::uint32_t notFound = 404;
+constexpr std::uint32_t badGateway = 502;
+constexpr std::uint32_t serviceUnavailable = 503;
+constexpr std::uint32_t gatewayTimeout = 504;
+constexpr std::uint32_t firstServerError = 500;
+// Guards refuse without cost to the server; a call still ends soon where all are full.
+constexpr unsigned maximumPlacements = 4;
+constexpr Duration retryWithoutServers = std::chrono::milliseconds(300);
+constexpr Duration retryWithoutConfig = std::chrono::milliseconds(500);
+constexpr Duration shortestRetryAfter = std::chrono::milliseconds(30);
+// Callers that were refused together come back spread over this part of their wait.
+constexpr double retrySpread = 0.5;
+
+std::optional<Duration> timeoutOf(const IncomingRequest& incoming, const std::string& header)
+{
+    auto value = incoming.fields[boost::beast::string_view(header.data(), header.size())];
+    auto millis = Support::parseNumber<std::int64_t>(std::string_view(value.data(), value.size()));
+    if (!millis || *millis < 0)
+        return std::nullopt;
+    return std::chrono::milliseconds(*millis);
+}
+
+std::string secondsText(Duration duration)
+{
+    constexpr double microsPerSecond = 1e6;
+    return fmt::format("{:.3f}", static_cast<double>(duration.count()) / microsPerSecond);
+}
+
+} // namespace
+
+Entry::Entry(Loop& loop, const NodeSettings& settings, HeaderNames names, std::uint64_t boot, Guard& guard, Peers& peers, EventLog& log, Support::Metrics& metrics)
+    : loop_(loop)
+    , settings_(settings)
+    , names_(std::move(names))
+    , boot_(boot)
+    , guard_(guard)
+    , peers_(peers)
+    , log_(log)
+    , metrics_(metrics)
+    , balancer_(settings.domain, boot)
+    , allowance_({settings.retryRatio, settings.retrySlack, settings.retryWindow})
+    , random_(boot + 1)
+{
+}
+
+void Entry::updateServers()
+{
+    std::vector<Balance::ServerFacts> facts;
+    instances_.clear();
+    auto add = [&](const std::string& node, const std::string& domain, const Support::Endpoint& guard, std::uint64_t boot, const ServerStatus& status) {
+        Balance::ServerFacts fact;
+        fact.id = {node, status.address};
+        fact.service = status.service;
+        fact.domain = domain;
+        fact.guard = guard;
+        fact.slots = status.slots;
+        fact.state = status.isCold ? Wire::ServerState::Cold : Wire::ServerState::Ready;
+        fact.incarnation = boot ^ std::hash<std::string>()(status.instance);
+        instances_[fact.id] = status.instance;
+        facts.push_back(std::move(fact));
+    };
+    for (const auto& server : peers_.servers())
+        add(server.node.name, server.node.domain, server.node.peerAddress, server.boot, server.status);
+    auto own = guard_.status();
+    if (!own.instance.empty())
+        add(settings_.name, settings_.domain, settings_.peerAddress, boot_, own);
+    balancer_.update(Support::monotonicNow(), facts);
+    allowance_.setNodeCount(peers_.knownCount() + 1);
+}
+
+void Entry::refuseUnrouted(const std::shared_ptr<CallerConnection>& caller, const Request& request, Reason reason, std::uint32_t status)
+{
+    log_.line(LogClass::Notable, "call-unrouted", "id={} host={} target={} reason={} status={} config={}", request.attemptId, request.host, request.target, Support::nameOf(reasonNames, reason), status, routes_ ? routes_->version() : 0);
+    metrics_.add(fmt::format("balsamreel_unrouted_total{{reason=\"{}\"}}", Support::nameOf(reasonNames, reason)));
+    ServerAnswer answer;
+    answer.status = status;
+    if (status == serviceUnavailable)
+        answer.headers.push_back({"Retry-After", secondsText(retryWithoutConfig)});
+    caller->answer(answer);
+}
+
+void Entry::handle(const std::shared_ptr<CallerConnection>& caller, IncomingRequest&& incoming)
+{
+    auto& request = incoming.request;
+    auto id = incoming.fields[boost::beast::string_view(names_.attemptId.data(), names_.attemptId.size())];
+    request.attemptId = std::string(id.data(), id.size());
+    request.headers = endToEndHeaders(incoming.fields, {"host", "expect", names_.attemptId, names_.timeoutMillis, names_.expectedInstance, names_.originService});
+    if (!routes_)
+        return refuseUnrouted(caller, request, Reason::NoConfiguration, serviceUnavailable);
+    const auto* route = routes_->match(request.host, request.target);
+    if (!route)
+        return refuseUnrouted(caller, request, Reason::NoRoute, notFound);
+
+    auto now = Support::monotonicNow();
+    auto call = std::make_shared<Call>(loop_);
+    call->caller = caller;
+    call->routes = routes_;
+    call->route = route;
+    call->service = routes_->nextTarget(*route);
+    call->arrivedAt = now;
+    auto patience = timeoutOf(incoming, names_.timeoutMillis).value_or(route->timeout);
+    call->deadline = now + std::min(patience, route->timeout);
+    call->goal = now + route->targetLatency;
+    call->request = std::move(request);
+    calls_[caller.get()] = call;
+    allowance_.request(now, call->service);
+    call->timer.expires_at(call->deadline);
+    call->timer.async_wait([this, call](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            onDeadline(call);
+    });
+    place(call, {Reason::NoServer, retryWithoutServers, false});
+}
+
+// Offers the call to the next server, or gives the refusal that the last one gave.
+void Entry::place(const CallPointer& call, NotRun ifNone)
+{
+    auto now = Support::monotonicNow();
+    if (call->placements >= maximumPlacements || now >= call->deadline)
+        return refuse(call, ifNone);
+    auto choice = balancer_.choose(now, call->service, false, call->tried);
+    if (!choice)
+        return refuse(call, ifNone);
+    auto instance = instanceOf(choice->server);
+    if (!instance)
+        return refuse(call, ifNone);
+    offer(call, *choice, *instance);
+}
+
+std::optional<std::string> Entry::instanceOf(const Balance::ServerId& server) const
+{
+    auto found = instances_.find(server);
+    if (found == instances_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+Offer Entry::offerOf(const Call& call, std::uint64_t serial, const std::string& instance, Instant now) const
+{
+    Offer offer;
+    offer.serial = serial;
+    offer.instance = instance;
+    offer.route = call.route->name;
+    offer.priority = call.route->priority;
+    offer.isIdempotent = call.route->isIdempotent;
+    offer.isRepeat = call.sent > 0;
+    offer.isNested = call.route->priority == 0;
+    offer.timeoutMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(1, (call.deadline - now).count()));
+    offer.goalMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(0, (std::min(call.goal, call.deadline) - now).count()));
+    offer.originService = settings_.service;
+    offer.request = call.request;
+    return offer;
+}
+
+void Entry::offer(const CallPointer& call, const Balance::Choice& choice, const std::string& instance)
+{
+    auto now = Support::monotonicNow();
+    auto serial = nextSerial_++;
+    ++call->placements;
+    call->tried.push_back(choice.server);
+    call->attempt = Attempt{serial, choice.server, now, now};
+    balancer_.started(now, choice.server, call->route->name);
+    auto message = offerOf(*call, serial, instance, now);
+    auto done = [this, call, serial](const Outcome& outcome, const Wire::LoadStamp& stamp) { onOutcome(call, serial, outcome, stamp); };
+    if (choice.server.node == settings_.name)
+        guard_.offer({boot_, serial}, message, std::move(done));
+    else
+        peers_.offer(choice.server.node, message, std::move(done));
+}
+
+void Entry::noteOutcome(const CallPointer& call, const Attempt& attempt, const Outcome& outcome, const Wire::LoadStamp& stamp)
+{
+    auto now = Support::monotonicNow();
+    Balance::Feedback feedback;
+    feedback.latency = now - attempt.startedAt;
+    feedback.startedAt = attempt.startedAt;
+    feedback.route = call->route->name;
+    if (stamp.limit > 0)
+        feedback.stamp = stamp;
+    if (const auto* notRun = std::get_if<NotRun>(&outcome)) {
+        bool isFault = notRun->reason == Reason::PeerLost || notRun->reason == Reason::ServerUnreachable;
+        feedback.result = isFault ? Balance::AttemptResult::Unreachable : Balance::AttemptResult::Refused;
+    } else if (std::holds_alternative<Unknown>(outcome))
+        feedback.result = Balance::AttemptResult::Broken;
+    else if (std::get<ServerAnswer>(outcome).status >= firstServerError)
+        feedback.result = Balance::AttemptResult::ServerError;
+    balancer_.finished(now, attempt.server, feedback);
+}
+
+void Entry::onOutcome(const CallPointer& call, std::uint64_t serial, const Outcome& outcome, const Wire::LoadStamp& stamp)
+{
+    if (!call->attempt || call->attempt->serial != serial)
+        return;
+    auto attempt = *call->attempt;
+    call->attempt.reset();
+    noteOutcome(call, attempt, outcome, stamp);
+    if (const auto* notRun = std::get_if<NotRun>(&outcome))
+        return onNotRun(call, *notRun);
+    ++call->sent;
+    if (const auto* unknown = std::get_if<Unknown>(&outcome))
+        return onUnknown(call, *unknown);
+    onAnswer(call, std::get<ServerAnswer>(outcome));
+}
+
+// A refusal of a guard costs no server anything; one that a server itself has sent counts as a send.
+void Entry::onNotRun(const CallPointer& call, const NotRun& refusal)
+{
+    if (refusal.hasReachedServer) {
+        ++call->sent;
+        if (!mayRepeat(*call))
+            return refuse(call, refusal);
+    }
+    place(call, refusal);
+}
+
+bool Entry::mayRepeat(const Call& call)
+{
+    if (call.sent >= call.route->maximumServers)
+        return false;
+    return allowance_.spend(Support::monotonicNow(), call.service);
+}
+
+void Entry::onUnknown(const CallPointer& call, const Unknown& unknown)
+{
+    call->mayHaveRun = true;
+    if (call->route->isIdempotent && Support::monotonicNow() < call->deadline && mayRepeat(*call))
+        return place(call, {unknown.reason, {}, false});
+    fail(call, unknown.reason, badGateway);
+}
+
+void Entry::onAnswer(const CallPointer& call, const ServerAnswer& answer)
+{
+    bool isError = answer.status >= firstServerError;
+    if (isError && call->route->isIdempotent && Support::monotonicNow() < call->deadline && !call->failedAnswer && mayRepeat(*call)) {
+        call->mayHaveRun = true;
+        call->failedAnswer = answer;
+        return place(call, {Reason::ServerShed, {}, false});
+    }
+    finish(call, answer, Reason::None);
+}
+
+void Entry::refuse(const CallPointer& call, const NotRun& refusal)
+{
+    if (call->failedAnswer)
+        return finish(call, *call->failedAnswer, refusal.reason);
+    if (call->mayHaveRun)
+        return fail(call, refusal.reason, badGateway);
+    ServerAnswer answer;
+    answer.status = serviceUnavailable;
+    auto wait = std::max(shortestRetryAfter, refusal.expectedWait);
+    wait += Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * retrySpread * random_.fraction()));
+    answer.headers.push_back({"Retry-After", secondsText(wait)});
+    finish(call, answer, refusal.reason);
+}
+
+void Entry::fail(const CallPointer& call, Reason reason, std::uint32_t status)
+{
+    if (call->failedAnswer)
+        return finish(call, *call->failedAnswer, reason);
+    ServerAnswer answer;
+    answer.status = status;
+    finish(call, answer, reason);
+}
+
+void Entry::finish(const CallPointer& call, const ServerAnswer& answer, Reason reason)
+{
+    auto elapsed = Support::monotonicNow() - call->arrivedAt;
+    bool isGood = answer.status < firstServerError;
+    auto server = call->tried.empty() ? std::string("-") : call->tried.back().node;
+    log_.line(isGood ? LogClass::Routine : LogClass::Notable, "call", "id={} route={} service={} config={} status={} reason={} server={} placements={} sent={} took_us={} goal_us={}", call->request.attemptId, call->route->name, call->service, call->routes->version(), answer.status, Support::nameOf(reasonNames, reason), server, call->placements, call->sent, elapsed.count(), call->route->targetLatency.count());
+    metrics_.add(fmt::format("balsamreel_calls_total{{status=\"{}\",reason=\"{}\"}}", answer.status, Support::nameOf(reasonNames, reason)));
+    metrics_.observe("balsamreel_call_seconds", static_cast<double>(elapsed.count()) / 1e6);
+    call->timer.cancel();
+    calls_.erase(call->caller.get());
+    auto caller = std::move(call->caller);
+    caller->answer(answer);
+}
+
+void Entry::cancelAttempt(const CallPointer& call)
+{
+    if (!call->attempt)
+        return;
+    auto attempt = *call->attempt;
+    call->attempt.reset();
+    Balance::Feedback feedback;
+    feedback.result = Balance::AttemptResult::Abandoned;
+    feedback.latency = Support::monotonicNow() - attempt.startedAt;
+    feedback.startedAt = attempt.startedAt;
+    feedback.route = call->route->name;
+    balancer_.finished(Support::monotonicNow(), attempt.server, feedback);
+    if (attempt.server.node == settings_.name)
+        guard_.cancel({boot_, attempt.serial});
+    else
+        peers_.cancel(attempt.server.node, attempt.serial);
+}
+
+void Entry::onDeadline(const CallPointer& call)
+{
+    if (!call->caller)
+        return;
+    cancelAttempt(call);
+    fail(call, Reason::TimedOut, gatewayTimeout);
+}
+
+void Entry::callerLeft(const std::shared_ptr<CallerConnection>& caller)
+{
+    auto found = calls_.find(caller.get());
+    if (found == calls_.end())
+        return;
+    auto call = found->second;
+    calls_.erase(found);
+    call->timer.cancel();
+    cancelAttempt(call);
+    call->caller.reset();
+    log_.line(LogClass::Routine, "caller-left", "id={} route={} after_us={}", call->request.attemptId, call->route->name, (Support::monotonicNow() - call->arrivedAt).count());
+}
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/lib/Relay/Guard.cpp
@@ -0,0 +1,343 @@
+#include "balsamreel/Relay/Guard.h"
+
+#include "balsamreel/Relay/HttpText.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamreel::Relay {
+
+namespace {
+
+// Servers slow down when nearly all of their slots are in use; what is admitted stays below.
+constexpr double usedSlotShare = 0.8;
+constexpr std::uint32_t slotsBeforeAnnouncement = 1;
+constexpr Duration longestQueueWait = std::chrono::milliseconds(400);
+constexpr auto tickInterval = std::chrono::milliseconds(10);
+// A request that may run only once isn't sent on a connection that its server may have forgotten.
+constexpr Duration freshConnection = std::chrono::seconds(1);
+constexpr Duration shedWait = std::chrono::milliseconds(150);
+constexpr std::uint32_t misdirected = 421;
+
+Admission::GateOptions gateOptions(std::uint32_t announcedSlots)
+{
+    Admission::GateOptions options;
+    options.slots = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::floor(announcedSlots * usedSlotShare)));
+    options.maximumQueueWait = longestQueueWait;
+    options.maximumLimitFactor = 1;
+    return options;
+}
+
+Reason reasonOf(Admission::RefusalReason reason)
+{
+    switch (reason) {
+    case Admission::RefusalReason::DeadlineTooNear:
+        return Reason::DeadlineTooNear;
+    case Admission::RefusalReason::Draining:
+        return Reason::ServerLeaving;
+    case Admission::RefusalReason::Overloaded:
+    case Admission::RefusalReason::WaitedTooLong:
+        break;
+    }
+    return Reason::Overloaded;
+}
+
+Reason reasonOf(const Outcome& outcome)
+{
+    if (const auto* notRun = std::get_if<NotRun>(&outcome))
+        return notRun->reason;
+    if (const auto* unknown = std::get_if<Unknown>(&outcome))
+        return unknown->reason;
+    return Reason::None;
+}
+
+} // namespace
+
+Guard::Guard(Loop& loop, const NodeSettings& settings, HeaderNames names, LoadReader readLoad, EventLog& log)
+    : loop_(loop)
+    , settings_(settings)
+    , names_(std::move(names))
+    , readLoad_(std::move(readLoad))
+    , log_(log)
+    , server_(settings.service, settings.server)
+    , gate_(gateOptions(slotsBeforeAnnouncement))
+    , tick_(loop)
+{
+}
+
+ServerStatus Guard::status() const
+{
+    ServerStatus status;
+    status.service = settings_.service;
+    status.address = settings_.server;
+    const auto* ready = server_.ready();
+    if (!ready || isClosed_)
+        return status;
+    status.instance = ready->instance;
+    status.slots = gateOptions(ready->slots).slots;
+    status.isCold = ready->coldTime > Duration::zero();
+    return status;
+}
+
+Wire::LoadStamp Guard::stamp() const
+{
+    auto load = gate_.load(Support::monotonicNow());
+    return {load.running, load.queued, load.limit, static_cast<std::uint32_t>(load.expectedWait.count())};
+}
+
+void Guard::changed(const ServerStatus& before)
+{
+    auto now = status();
+    if (now == before)
+        return;
+    const auto* ready = server_.ready();
+    if (ready)
+        gate_.setOptions(gateOptions(ready->slots));
+    if (now.instance != before.instance) {
+        log_.line(LogClass::Notable, "server-state", "service={} before={} now={} slots={}", now.service, before.instance, now.instance, now.slots);
+        idle_.clear();
+    }
+    onStatusChange();
+}
+
+bool Guard::announce(const Announcement& announcement)
+{
+    auto before = status();
+    bool isAccepted = server_.announce(announcement);
+    changed(before);
+    return isAccepted;
+}
+
+void Guard::leave(const std::string& instance, std::optional<std::int64_t> bornMillis)
+{
+    auto before = status();
+    server_.leave(instance, bornMillis);
+    changed(before);
+}
+
+void Guard::close()
+{
+    auto before = status();
+    isClosed_ = true;
+    changed(before);
+}
+
+void Guard::refuse(const OfferKey& key, const Offer& offer, NotRun refusal, const Done& done)
+{
+    log_.line(LogClass::Notable, "guard-refused", "id={} route={} reason={} wait_us={} left_us={}", offer.request.attemptId, offer.route, Support::nameOf(reasonNames, refusal.reason), refusal.expectedWait.count(), offer.timeoutMicros);
+    if (!offer.isIdempotent)
+        settled_.add(Support::monotonicNow(), key, refusal);
+    done(refusal, stamp());
+}
+
+void Guard::offer(const OfferKey& key, const Offer& offer, Done done)
+{
+    auto now = Support::monotonicNow();
+    if (const auto* settled = settled_.find(key))
+        return done(*settled, stamp());
+    const auto* ready = server_.ready();
+    if (!ready || isClosed_)
+        return refuse(key, offer, {Reason::ServerLeaving, {}, false}, done);
+    if (ready->instance != offer.instance)
+        return refuse(key, offer, {Reason::WrongServer, {}, false}, done);
+
+    Admission::Ticket ticket;
+    ticket.id = nextTicket_++;
+    ticket.route = offer.route;
+    ticket.depth = offer.isNested ? 1 : 0;
+    ticket.priority = offer.priority;
+    ticket.deadline = now + Duration(offer.goalMicros > 0 ? offer.goalMicros : offer.timeoutMicros);
+    auto decision = gate_.offer(now, ticket);
+    if (const auto* refused = std::get_if<Admission::Refused>(&decision))
+        return refuse(key, offer, {reasonOf(refused->reason), refused->expectedWait, false}, done);
+    jobs_[ticket.id] = std::make_unique<Job>(Job{key, offer, std::move(done), now, now + Duration(offer.timeoutMicros), now, nullptr});
+    tickets_[key] = ticket.id;
+    if (std::holds_alternative<Admission::Admitted>(decision))
+        run(ticket.id);
+    else
+        scheduleTick();
+    resolve(gate_.takeEvicted());
+}
+
+void Guard::resolve(const std::vector<Admission::Resolution>& resolutions)
+{
+    for (const auto& resolution : resolutions) {
+        if (std::holds_alternative<Admission::Admitted>(resolution.decision)) {
+            run(resolution.ticket);
+            continue;
+        }
+        const auto& refused = std::get<Admission::Refused>(resolution.decision);
+        auto node = jobs_.extract(resolution.ticket);
+        if (node.empty())
+            continue;
+        const auto& job = *node.mapped();
+        tickets_.erase(job.key);
+        refuse(job.key, job.offer, {reasonOf(refused.reason), refused.expectedWait, false}, job.done);
+    }
+}
+
+std::shared_ptr<HttpClientConnection> Guard::takeConnection(bool isIdempotent, Instant now)
+{
+    std::erase_if(idle_, [now](const auto& connection) { return !connection->isReusable(now); });
+    if (!idle_.empty() && (isIdempotent || now - idle_.back()->idleSince() < freshConnection)) {
+        auto connection = std::move(idle_.back());
+        idle_.pop_back();
+        return connection;
+    }
+    return std::make_shared<HttpClientConnection>(loop_, settings_.server);
+}
+
+std::vector<Header> Guard::addedHeaders(const Job& job, Instant now) const
+{
+    constexpr Duration::rep microsPerMilli = 1000;
+    auto left = std::max<Duration::rep>(1, (job.deadline - now).count() / microsPerMilli);
+    std::vector<Header> headers;
+    if (!job.offer.request.attemptId.empty())
+        headers.push_back({names_.attemptId, job.offer.request.attemptId});
+    headers.push_back({names_.timeoutMillis, std::to_string(left)});
+    headers.push_back({names_.expectedInstance, job.offer.instance});
+    headers.push_back({names_.originService, job.offer.originService});
+    return headers;
+}
+
+// Admission may come after the server has begun to leave or the time has passed: both are checked once more right before sending.
+void Guard::run(std::uint64_t ticket)
+{
+    auto found = jobs_.find(ticket);
+    if (found == jobs_.end())
+        return;
+    auto& job = *found->second;
+    auto now = Support::monotonicNow();
+    const auto* ready = server_.ready();
+    if (!ready || ready->instance != job.offer.instance)
+        return conclude(ticket, NotRun{Reason::ServerLeaving, {}, false}, false);
+    if (now >= job.deadline)
+        return conclude(ticket, NotRun{Reason::DeadlineTooNear, {}, false}, false);
+    job.startedAt = now;
+    job.connection = takeConnection(job.offer.isIdempotent, now);
+    auto text = requestText(job.offer.request, addedHeaders(job, now));
+    job.connection->exchange(std::move(text), {names_.attemptId, job.offer.request.attemptId}, job.offer.request.method == "HEAD", [this, ticket](HttpResult result) { settle(ticket, std::move(result)); });
+}
+
+Outcome Guard::outcomeOf(const Job& job, HttpReply&& reply)
+{
+    auto view = [&](const std::string& name) {
+        auto value = reply.fields[boost::beast::string_view(name.data(), name.size())];
+        return std::string_view(value.data(), value.size());
+    };
+    if (reply.status == misdirected) {
+        log_.line(LogClass::Notable, "server-mistaken", "expected={} found={}", job.offer.instance, view(names_.instance));
+        auto before = status();
+        server_.mistaken();
+        changed(before);
+        return NotRun{Reason::WrongServer, {}, true};
+    }
+    if (!view(names_.notRun).empty())
+        return NotRun{Reason::ServerShed, shedWait, true};
+    bool isSuccess = reply.status >= 200 && reply.status < 300;
+    bool isEncoded = reply.fields.find(boost::beast::http::field::content_encoding) != reply.fields.end();
+    if (isSuccess && (view(names_.answerProof).empty() || view(names_.attemptId) != job.offer.request.attemptId || isEncoded))
+        return Unknown{Reason::BadAnswer};
+    return ServerAnswer{reply.status, endToEndHeaders(reply.fields, {names_.load, names_.instance}), std::move(reply.body)};
+}
+
+Outcome Guard::outcomeOf(const Job& job, HttpResult result)
+{
+    if (auto* reply = std::get_if<HttpReply>(&result))
+        return outcomeOf(job, std::move(*reply));
+    switch (std::get<HttpFailure>(result)) {
+    case HttpFailure::Unreachable:
+        return NotRun{Reason::ServerUnreachable, shedWait, false};
+    case HttpFailure::Malformed:
+        return Unknown{Reason::BadAnswer};
+    case HttpFailure::Broke:
+        break;
+    }
+    return Unknown{Reason::ServerBroke};
+}
+
+void Guard::settle(std::uint64_t ticket, HttpResult result)
+{
+    auto found = jobs_.find(ticket);
+    if (found == jobs_.end())
+        return;
+    auto& job = *found->second;
+    if (job.connection->isReusable(Support::monotonicNow()))
+        idle_.push_back(job.connection);
+    auto outcome = outcomeOf(job, std::move(result));
+    const auto* answer = std::get_if<ServerAnswer>(&outcome);
+    conclude(ticket, outcome, answer && answer->status < 500);
+}
+
+void Guard::conclude(std::uint64_t ticket, const Outcome& outcome, bool hasSucceeded)
+{
+    auto node = jobs_.extract(ticket);
+    if (node.empty())
+        return;
+    const auto& job = *node.mapped();
+    tickets_.erase(job.key);
+    auto now = Support::monotonicNow();
+    auto next = gate_.finish(now, ticket, hasSucceeded);
+    if (!job.offer.isIdempotent)
+        settled_.add(now, job.key, outcome);
+    const auto* answer = std::get_if<ServerAnswer>(&outcome);
+    log_.line(hasSucceeded ? LogClass::Routine : LogClass::Notable, "guard-ran", "id={} route={} status={} reason={} queued_us={} ran_us={}", job.offer.request.attemptId, job.offer.route, answer ? answer->status : 0, Support::nameOf(reasonNames, reasonOf(outcome)), (job.startedAt - job.offeredAt).count(), (now - job.startedAt).count());
+    if (job.done)
+        job.done(outcome, stamp());
+    resolve(next);
+}
+
+void Guard::cancel(const OfferKey& key)
+{
+    auto found = tickets_.find(key);
+    if (found == tickets_.end())
+        return;
+    auto ticket = found->second;
+    auto& job = *jobs_.at(ticket);
+    job.done = nullptr;
+    if (!job.connection) {
+        gate_.cancel(ticket);
+        settled_.add(Support::monotonicNow(), key, NotRun{Reason::CallerLeft, {}, false});
+        jobs_.erase(ticket);
+        tickets_.erase(key);
+        return;
+    }
+    if (!job.offer.isIdempotent)
+        return;
+    job.connection->close();
+    conclude(ticket, Unknown{Reason::CallerLeft}, false);
+}
+
+void Guard::inquire(const OfferKey& key, Done done)
+{
+    if (const auto* settled = settled_.find(key))
+        return done(*settled, stamp());
+    auto found = tickets_.find(key);
+    if (found != tickets_.end()) {
+        jobs_.at(found->second)->done = std::move(done);
+        return;
+    }
+    // Never seen: should it still arrive, it finds this.
+    NotRun refusal{Reason::PeerLost, {}, false};
+    settled_.add(Support::monotonicNow(), key, refusal);
+    done(refusal, stamp());
+}
+
+void Guard::scheduleTick()
+{
+    if (isTickScheduled_)
+        return;
+    isTickScheduled_ = true;
+    tick_.expires_after(tickInterval);
+    tick_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        isTickScheduled_ = false;
+        auto now = Support::monotonicNow();
+        resolve(gate_.tick(now));
+        if (gate_.load(now).queued > 0)
+            scheduleTick();
+    });
+}
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/lib/Relay/LocalServer.cpp
@@ -0,0 +1,57 @@
+#include "balsamreel/Relay/LocalServer.h"
+
+#include <limits>
+
+namespace balsamreel::Relay {
+
+LocalServer::LocalServer(std::string service, Support::Endpoint address)
+    : service_(std::move(service))
+    , address_(std::move(address))
+{
+}
+
+bool LocalServer::announce(const Announcement& announcement)
+{
+    // Only the one server on this VM can be reached from here.
+    if (announcement.service != service_ || announcement.address != address_)
+        return false;
+    auto left = leftBorn_.find(announcement.instance);
+    if (left != leftBorn_.end() && announcement.bornMillis <= left->second)
+        return false;
+    if (current_) {
+        bool isSameProcess = current_->instance == announcement.instance && current_->bornMillis == announcement.bornMillis;
+        if (isSameProcess && announcement.sequence <= current_->sequence)
+            return false;
+        // A process that was started earlier than the known one has ended; its announcement was delayed.
+        if (!isSameProcess && announcement.bornMillis < current_->bornMillis)
+            return false;
+        // Draining is final for one process.
+        if (isSameProcess && current_->state == ServerState::Draining && announcement.state == ServerState::Ready)
+            return true;
+    }
+    current_ = announcement;
+    return true;
+}
+
+void LocalServer::leave(const std::string& instance, std::optional<std::int64_t> bornMillis)
+{
+    bool isCurrent = current_ && current_->instance == instance;
+    std::int64_t born = std::numeric_limits<std::int64_t>::min();
+    if (bornMillis)
+        born = *bornMillis;
+    else if (isCurrent)
+        born = current_->bornMillis;
+    auto& newest = leftBorn_.try_emplace(instance, born).first->second;
+    newest = std::max(newest, born);
+    if (isCurrent && current_->bornMillis <= born)
+        current_.reset();
+}
+
+const Announcement* LocalServer::ready() const
+{
+    if (!current_ || current_->state != ServerState::Ready)
+        return nullptr;
+    return &*current_;
+}
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/lib/Relay/Node.cpp
@@ -0,0 +1,298 @@
+#include "balsamreel/Relay/Node.h"
+
+#include "balsamreel/Relay/HttpText.h"
+#include "balsamreel/Support/Random.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <csignal>
+#include <unistd.h>
+
+namespace balsamreel::Relay {
+
+namespace {
+
+constexpr std::uint32_t ok = 200;
+constexpr std::uint32_t badRequest = 400;
+constexpr std::uint32_t notFound = 404;
+constexpr std::uint32_t serviceUnavailable = 503;
+constexpr auto tickInterval = std::chrono::milliseconds(100);
+// A change of the configuration has to be in force soon; changes of nodes may be gathered.
+constexpr Duration configPause = std::chrono::milliseconds(50);
+constexpr Duration nodePause = std::chrono::milliseconds(500);
+constexpr Duration configQueryInterval = std::chrono::milliseconds(500);
+// Callers are still sent here until the platform has seen that the node is not ready.
+constexpr Duration shortestShutdown = std::chrono::milliseconds(2500);
+constexpr Duration shutdownReserve = std::chrono::milliseconds(250);
+constexpr auto shutdownCheckInterval = std::chrono::milliseconds(50);
+constexpr std::string_view metricsPath = "/metrics";
+
+ServerAnswer plainAnswer(std::uint32_t status)
+{
+    ServerAnswer answer;
+    answer.status = status;
+    return answer;
+}
+
+} // namespace
+
+Node::Node(Loop& loop, NodeSettings settings, PlatformCodec codec, std::function<void()> onReload)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , codec_(std::move(codec))
+    , onReload_(std::move(onReload))
+    , boot_(Support::randomSeed() | 1U)
+    , log_(loop, settings_.name, STDOUT_FILENO)
+    , guard_(loop, settings_, codec_.headers, codec_.readLoad, log_)
+    , peers_(loop, settings_, boot_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { takeConfig(content, "peer"); }, [this] { entry_.updateServers(); }})
+    , entry_(loop, settings_, codec_.headers, boot_, guard_, peers_, log_, metrics_)
+    , storeCalls_(loop, settings_.store)
+    , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configPause, boot_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
+        for (const auto& object : objects)
+            if (object.name == codec_.configName)
+                takeConfig(object.content, "store"); }, [this](const StoredObject& object) {
+        if (object.name == codec_.configName && !object.isDeleted)
+            takeConfig(object.content, "store"); }})
+    , nodeFollower_(loop, storeCalls_, codec_.store, Collection::Nodes, nodePause, boot_ + 3, log_, {[this](const std::vector<StoredObject>& objects) {
+        for (const auto& object : objects)
+            takeNode(object);
+        registration_.onListing(objects); }, [this](const StoredObject& object) {
+        takeNode(object);
+        registration_.onChange(object); }})
+    , registration_(loop, storeCalls_, codec_.store, settings_.name, codec_.writeNode({settings_.name, settings_.peerAddress, settings_.domain}), log_)
+    , callerAcceptor_(loop)
+    , readinessAcceptor_(loop)
+    , announcementAcceptor_(loop)
+    , metricsAcceptor_(loop)
+    , signals_(loop, SIGTERM, SIGINT, SIGHUP)
+    , tick_(loop)
+    , shutdownTimer_(loop)
+{
+    guard_.onStatusChange = [this] {
+        peers_.publishStatus();
+        entry_.updateServers();
+    };
+}
+
+void Node::start()
+{
+    log_.line(LogClass::Notable, "start", "service={} domain={} boot={} store={}", settings_.service, settings_.domain, boot_, settings_.store.text());
+    listen(callerAcceptor_, settings_.callerAddress);
+    accept(callerAcceptor_, callerHost());
+    listen(readinessAcceptor_, settings_.readinessAddress);
+    accept(readinessAcceptor_, controlHost());
+    listen(announcementAcceptor_, settings_.announcementAddress);
+    accept(announcementAcceptor_, controlHost());
+    listen(metricsAcceptor_, settings_.metricsAddress);
+    accept(metricsAcceptor_, controlHost());
+    peers_.listen();
+    configFollower_.start();
+    nodeFollower_.start();
+    waitForSignals();
+    tick();
+}
+
+void Node::listen(boost::asio::ip::tcp::acceptor& acceptor, const Support::Endpoint& endpoint)
+{
+    boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(endpoint.host), endpoint.port);
+    acceptor.open(address.protocol());
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor.bind(address);
+    acceptor.listen();
+}
+
+void Node::accept(boost::asio::ip::tcp::acceptor& acceptor, const CallerConnection::Host& host)
+{
+    acceptor.async_accept([this, &acceptor, host](const boost::system::error_code& error, Socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (!error) {
+            boost::system::error_code ignored; // delays small answers at worst
+            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            auto connection = std::make_shared<CallerConnection>(std::move(socket), host);
+            callers_.insert(connection);
+            connection->start();
+        }
+        accept(acceptor, host);
+    });
+}
+
+CallerConnection::Host Node::callerHost()
+{
+    CallerConnection::Host host;
+    host.onRequest = [this](const auto& caller, IncomingRequest&& incoming) { entry_.handle(caller, std::move(incoming)); };
+    host.onCallerLeft = [this](const auto& caller) { entry_.callerLeft(caller); };
+    host.onClosed = [this](const auto& caller) { callers_.erase(caller); };
+    host.limits = [this] { return limits_; };
+    host.isShuttingDown = [this] { return isShuttingDown_; };
+    return host;
+}
+
+CallerConnection::Host Node::controlHost()
+{
+    CallerConnection::Host host = callerHost();
+    host.onRequest = [this](const auto& caller, IncomingRequest&& incoming) { onControl(caller, std::move(incoming)); };
+    host.onCallerLeft = [](const auto&) {};
+    host.limits = [] { return CallerLimits(); };
+    return host;
+}
+
+void Node::onControl(const std::shared_ptr<CallerConnection>& caller, IncomingRequest&& incoming)
+{
+    if (incoming.request.target == metricsPath) {
+        auto answer = plainAnswer(ok);
+        answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+        answer.body = metricsText();
+        return caller->answer(answer);
+    }
+    caller->answer(answerControl(incoming.request));
+}
+
+ServerAnswer Node::answerControl(const Request& request)
+{
+    struct Visitor {
+        Node& node;
+        const Request& request;
+
+        ServerAnswer operator()(const ReadinessQuery&) const { return plainAnswer(node.isReady() ? ok : serviceUnavailable); }
+        ServerAnswer operator()(const Announcement& announcement) const { return node.onAnnouncement(announcement); }
+        ServerAnswer operator()(const ServerLeaves& leaves) const { return node.onLeave(leaves); }
+        ServerAnswer operator()(const MalformedCall&) const
+        {
+            node.log_.line(LogClass::Notable, "announcement-malformed", "target={} bytes={}", request.target, request.body.size());
+            return plainAnswer(badRequest);
+        }
+        ServerAnswer operator()(const UnknownCall&) const { return plainAnswer(notFound); }
+    };
+    return std::visit(Visitor{*this, request}, codec_.readControl(request));
+}
+
+ServerAnswer Node::onAnnouncement(const Announcement& announcement)
+{
+    bool isAccepted = guard_.announce(announcement);
+    if (!isAccepted)
+        log_.line(LogClass::Notable, "announcement-ignored", "instance={} service={} address={} sequence={} born={}", announcement.instance, announcement.service, announcement.address.text(), announcement.sequence, announcement.bornMillis);
+    else
+        isServerGone_ = announcement.state == ServerState::Draining;
+    return codec_.acknowledge();
+}
+
+ServerAnswer Node::onLeave(const ServerLeaves& leaves)
+{
+    log_.line(LogClass::Notable, "server-leaves", "instance={}", leaves.instance);
+    guard_.leave(leaves.instance, leaves.bornMillis);
+    isServerGone_ = true;
+    return codec_.acknowledge();
+}
+
+bool Node::isReady() const
+{
+    return configVersion_ > 0 && !isShuttingDown_;
+}
+
+void Node::takeConfig(const std::string& content, std::string_view source)
+{
+    std::string error;
+    auto config = codec_.readConfig(content, error);
+    if (!config) {
+        log_.line(LogClass::Notable, "config-unreadable", "source={} error=\"{}\"", source, error);
+        return;
+    }
+    if (config->version <= configVersion_)
+        return;
+    log_.line(LogClass::Notable, "config-in-force", "version={} before={} source={} routes={}", config->version, configVersion_, source, config->routes.size());
+    configVersion_ = config->version;
+    configContent_ = content;
+    limits_ = config->limits;
+    entry_.setRoutes(std::make_shared<RouteTable>(std::move(*config)));
+}
+
+void Node::takeNode(const StoredObject& object)
+{
+    if (object.isDeleted)
+        return peers_.forget(object.name);
+    auto entry = codec_.readNode(object.content);
+    if (!entry || entry->name != object.name) {
+        log_.line(LogClass::Notable, "node-entry-unreadable", "name={}", object.name);
+        return;
+    }
+    peers_.learn({*entry});
+}
+
+void Node::waitForSignals()
+{
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            log_.line(LogClass::Notable, "reload", "signal=SIGHUP");
+            onReload_();
+        } else
+            shutDown();
+        waitForSignals();
+    });
+}
+
+void Node::shutDown()
+{
+    if (isShuttingDown_)
+        return;
+    isShuttingDown_ = true;
+    shutdownSince_ = Support::monotonicNow();
+    log_.line(LogClass::Notable, "stop", "open_calls={} guarded={} server_gone={}", entry_.openCount(), guard_.openCount(), isServerGone_);
+    guard_.close();
+    if (isServerGone_)
+        registration_.remove([] {});
+    checkShutdown();
+}
+
+// Ends when nothing is open and callers have had time to go elsewhere, or shortly before the platform ends the process.
+void Node::checkShutdown()
+{
+    auto elapsed = Support::monotonicNow() - shutdownSince_;
+    bool isQuiet = entry_.openCount() == 0 && guard_.openCount() == 0;
+    if ((isQuiet && elapsed >= shortestShutdown) || elapsed >= settings_.shutdownGrace - shutdownReserve)
+        return end();
+    shutdownTimer_.expires_after(shutdownCheckInterval);
+    shutdownTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            checkShutdown();
+    });
+}
+
+void Node::end()
+{
+    log_.line(LogClass::Notable, "end", "open_calls={} guarded={} lines_left_out={}", entry_.openCount(), guard_.openCount(), log_.leftOut());
+    log_.flush();
+    peers_.close();
+    storeCalls_.close();
+    loop_.stop();
+}
+
+void Node::tick()
+{
+    auto now = Support::monotonicNow();
+    peers_.tick(now);
+    if (!configFollower_.isConnected() && now - lastConfigQuery_ >= configQueryInterval) {
+        lastConfigQuery_ = now;
+        peers_.queryConfig();
+    }
+    tick_.expires_after(tickInterval);
+    tick_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            tick();
+    });
+}
+
+std::string Node::metricsText()
+{
+    metrics_.set("balsamreel_open_calls", static_cast<double>(entry_.openCount()));
+    metrics_.set("balsamreel_guarded_calls", static_cast<double>(guard_.openCount()));
+    metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
+    metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
+    metrics_.set("balsamreel_store_calls", static_cast<double>(storeCalls_.count()));
+    metrics_.set("balsamreel_log_lines_left_out", static_cast<double>(log_.leftOut()));
+    return metrics_.text();
+}
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/lib/Relay/Peers.cpp
@@ -0,0 +1,385 @@
+#include "balsamreel/Relay/Peers.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+
+namespace balsamreel::Relay {
+
+namespace {
+
+namespace tcp = boost::asio::ip;
+
+constexpr Duration firstRedial = std::chrono::milliseconds(150);
+constexpr Duration longestRedial = std::chrono::milliseconds(1200);
+constexpr unsigned maximumDoublings = 3;
+constexpr Duration dialTimeout = std::chrono::seconds(1);
+// With offers open and nothing heard, the other side is asked for a sign of life, and then given up.
+constexpr Duration pingAfter = std::chrono::milliseconds(250);
+constexpr Duration lostAfter = std::chrono::milliseconds(700);
+
+boost::asio::ip::tcp::endpoint endpointOf(const Support::Endpoint& endpoint)
+{
+    return {tcp::make_address(endpoint.host), endpoint.port};
+}
+
+} // namespace
+
+Peers::Peers(Loop& loop, const NodeSettings& settings, std::uint64_t boot, Guard& guard, EventLog& log, Host host)
+    : loop_(loop)
+    , settings_(settings)
+    , boot_(boot)
+    , guard_(guard)
+    , log_(log)
+    , host_(std::move(host))
+    , self_{settings.name, settings.peerAddress, settings.domain}
+    , acceptor_(loop)
+{
+}
+
+void Peers::listen()
+{
+    auto endpoint = endpointOf(settings_.peerAddress);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen();
+    accept();
+}
+
+void Peers::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code& error, Socket socket) {
+        if (isClosed_)
+            return;
+        if (!error)
+            serve(std::move(socket));
+        accept();
+    });
+}
+
+void Peers::serve(Socket socket)
+{
+    tuneSocket(socket);
+    auto link = std::make_shared<PeerLink>(std::move(socket));
+    guests_.push_back(link);
+    auto guestBoot = std::make_shared<std::uint64_t>(0);
+    std::weak_ptr<PeerLink> weak = link;
+    PeerLink::Handlers handlers;
+    handlers.onMessage = [this, weak, guestBoot](PeerMessage&& message) {
+        if (auto strong = weak.lock())
+            onGuestMessage(strong, *guestBoot, std::move(message));
+    };
+    handlers.onClosed = [this, weak](const std::string&) {
+        std::erase_if(guests_, [&](const auto& guest) { return guest == weak.lock(); });
+    };
+    link->start(std::move(handlers));
+}
+
+void Peers::onGuestMessage(const std::shared_ptr<PeerLink>& link, std::uint64_t& guestBoot, PeerMessage&& message)
+{
+    if (const auto* greeting = std::get_if<Hello>(&message)) {
+        if (greeting->protocol != peerProtocolVersion) {
+            log_.line(LogClass::Notable, "peer-version", "peer={} version={}", greeting->sender.name, greeting->protocol);
+            return link->close();
+        }
+        guestBoot = greeting->boot;
+        link->send(hello());
+        shareConfig(link, greeting->configVersion);
+        auto known = greeting->peers;
+        known.push_back(greeting->sender);
+        learn(known);
+    } else if (const auto* offer = std::get_if<Offer>(&message))
+        serveOffer(link, guestBoot, *offer);
+    else if (const auto* cancel = std::get_if<Cancel>(&message))
+        guard_.cancel({guestBoot, cancel->serial});
+    else if (const auto* inquiry = std::get_if<Inquiry>(&message))
+        guard_.inquire({inquiry->senderBoot, inquiry->serial}, [link, serial = inquiry->serial](const Outcome& outcome, const Wire::LoadStamp& stamp) { link->send(OfferResult{serial, outcome, stamp}); });
+    else if (const auto* query = std::get_if<ConfigQuery>(&message))
+        shareConfig(link, query->version);
+    else if (std::holds_alternative<Ping>(message))
+        link->send(Pong());
+}
+
+void Peers::serveOffer(const std::shared_ptr<PeerLink>& link, std::uint64_t guestBoot, const Offer& offer)
+{
+    guard_.offer({guestBoot, offer.serial}, offer, [link, serial = offer.serial](const Outcome& outcome, const Wire::LoadStamp& stamp) { link->send(OfferResult{serial, outcome, stamp}); });
+}
+
+Hello Peers::hello() const
+{
+    Hello greeting;
+    greeting.sender = self_;
+    greeting.boot = boot_;
+    greeting.configVersion = host_.configVersion();
+    greeting.status = guard_.status();
+    for (const auto& [name, peer] : peers_) {
+        if (peer->link && !peer->isForgotten)
+            greeting.peers.push_back(peer->entry);
+    }
+    return greeting;
+}
+
+void Peers::shareConfig(const std::shared_ptr<PeerLink>& link, std::uint64_t otherVersion)
+{
+    if (host_.configVersion() > otherVersion)
+        link->send(ConfigDocument{host_.configText()});
+}
+
+void Peers::learn(const std::vector<NodeEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        if (entry.name == self_.name || isClosed_)
+            continue;
+        auto& peer = peers_[entry.name];
+        if (!peer)
+            peer = std::make_shared<Peer>();
+        bool hasMoved = peer->entry.peerAddress != entry.peerAddress;
+        peer->entry = entry;
+        peer->isForgotten = false;
+        if (hasMoved && peer->link) {
+            peer->link->close();
+            onLost(peer, "address changed");
+        }
+        if (!peer->link && !peer->isConnecting && (hasMoved || peer->failures == 0))
+            dial(peer);
+    }
+}
+
+void Peers::forget(const std::string& node)
+{
+    auto found = peers_.find(node);
+    if (found == peers_.end())
+        return;
+    found->second->isForgotten = true;
+    if (!found->second->link && !found->second->isConnecting)
+        peers_.erase(found);
+}
+
+void Peers::dial(const PeerPointer& peer)
+{
+    boost::system::error_code error;
+    auto address = tcp::make_address(peer->entry.peerAddress.host, error);
+    if (error) {
+        log_.line(LogClass::Notable, "peer-address", "peer={} address={} error={}", peer->entry.name, peer->entry.peerAddress.text(), error.message());
+        return;
+    }
+    peer->isConnecting = true;
+    auto socket = std::make_shared<Socket>(loop_);
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, dialTimeout);
+    timer->async_wait([socket](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+            boost::system::error_code ignored; // the dial ends with an error either way
+            socket->close(ignored);
+        }
+    });
+    socket->async_connect({address, peer->entry.peerAddress.port}, [this, peer, socket, timer](const boost::system::error_code& failure) {
+        timer->cancel();
+        if (!isClosed_)
+            onDialed(peer, socket, static_cast<bool>(failure) || !socket->is_open());
+    });
+}
+
+void Peers::onDialed(const PeerPointer& peer, const std::shared_ptr<Socket>& socket, bool isFailed)
+{
+    peer->isConnecting = false;
+    if (isFailed) {
+        auto delay = std::min(longestRedial, firstRedial * (1U << std::min(peer->failures, maximumDoublings)));
+        ++peer->failures;
+        peer->nextDial = Support::monotonicNow() + delay;
+        if (peer->isForgotten)
+            peers_.erase(peer->entry.name);
+        return;
+    }
+    tuneSocket(*socket);
+    peer->link = std::make_shared<PeerLink>(std::move(*socket));
+    peer->isGreeted = false;
+    PeerLink::Handlers handlers;
+    handlers.onMessage = [this, peer](PeerMessage&& message) { onPeerMessage(peer, std::move(message)); };
+    handlers.onClosed = [this, peer](const std::string& cause) { onLost(peer, cause); };
+    peer->link->start(std::move(handlers));
+    peer->link->send(hello());
+    for (const auto& [serial, offer] : peer->pending)
+        peer->link->send(Inquiry{boot_, serial, offer.instance});
+}
+
+void Peers::onPeerMessage(const PeerPointer& peer, PeerMessage&& message)
+{
+    if (const auto* greeting = std::get_if<Hello>(&message))
+        return onHello(peer, *greeting);
+    if (const auto* result = std::get_if<OfferResult>(&message))
+        return onResult(peer, *result);
+    if (const auto* update = std::get_if<StatusUpdate>(&message)) {
+        peer->status = update->status;
+        log_.line(LogClass::Notable, "peer-status", "peer={} service={} instance={}", peer->entry.name, update->status.service, update->status.instance);
+        return host_.onServersChanged();
+    }
+    if (const auto* document = std::get_if<ConfigDocument>(&message))
+        host_.onConfigText(document->text);
+}
+
+void Peers::onHello(const PeerPointer& peer, const Hello& greeting)
+{
+    if (peer->boot != 0 && peer->boot != greeting.boot) {
+        // The process that held the offers is gone, and nothing tells what it ran.
+        auto pending = std::move(peer->pending);
+        peer->pending.clear();
+        for (auto& [serial, offer] : pending)
+            offer.done(Unknown{Reason::PeerLost}, {});
+    }
+    peer->boot = greeting.boot;
+    peer->status = greeting.status;
+    peer->isGreeted = true;
+    peer->failures = 0;
+    log_.line(LogClass::Notable, "peer-up", "peer={} boot={} service={} instance={}", peer->entry.name, greeting.boot, greeting.status.service, greeting.status.instance);
+    if (peer->link)
+        shareConfig(peer->link, greeting.configVersion);
+    learn(greeting.peers);
+    host_.onServersChanged();
+}
+
+void Peers::onResult(const PeerPointer& peer, const OfferResult& result)
+{
+    auto node = peer->pending.extract(result.serial);
+    if (!node.empty())
+        node.mapped().done(result.outcome, result.stamp);
+}
+
+// Idempotent offers end here, so that they can go elsewhere; the outcome of others is asked for on the next link.
+void Peers::onLost(const PeerPointer& peer, const std::string& cause)
+{
+    if (isClosed_)
+        return;
+    log_.line(LogClass::Notable, "peer-lost", "peer={} cause=\"{}\" offers={}", peer->entry.name, cause, peer->pending.size());
+    peer->link.reset();
+    peer->isGreeted = false;
+    peer->nextDial = Support::monotonicNow();
+    std::vector<Guard::Done> ended;
+    for (auto entry = peer->pending.begin(); entry != peer->pending.end();) {
+        if (!entry->second.isIdempotent) {
+            entry->second.isInquiry = true;
+            ++entry;
+            continue;
+        }
+        ended.push_back(std::move(entry->second.done));
+        entry = peer->pending.erase(entry);
+    }
+    host_.onServersChanged();
+    for (auto& done : ended)
+        done(Unknown{Reason::PeerLost}, {});
+    if (peer->isForgotten && peer->pending.empty()) {
+        peers_.erase(peer->entry.name);
+        return;
+    }
+    dial(peer);
+}
+
+std::vector<PeerServer> Peers::servers() const
+{
+    std::vector<PeerServer> servers;
+    for (const auto& [name, peer] : peers_) {
+        if (peer->isGreeted && peer->link && !peer->status.instance.empty())
+            servers.push_back({peer->entry, peer->boot, peer->status});
+    }
+    return servers;
+}
+
+void Peers::offer(const std::string& node, const Offer& offer, Guard::Done done)
+{
+    auto found = peers_.find(node);
+    if (found == peers_.end() || !found->second->link)
+        return done(NotRun{Reason::PeerLost, {}, false}, {});
+    auto now = Support::monotonicNow();
+    auto& peer = *found->second;
+    peer.pending[offer.serial] = {std::move(done), now, offer.instance, offer.isIdempotent, now + Duration(offer.timeoutMicros), false};
+    peer.link->send(offer);
+}
+
+void Peers::cancel(const std::string& node, std::uint64_t serial)
+{
+    auto found = peers_.find(node);
+    if (found == peers_.end())
+        return;
+    auto& peer = *found->second;
+    if (peer.pending.erase(serial) > 0 && peer.link)
+        peer.link->send(Cancel{serial});
+}
+
+void Peers::publishStatus()
+{
+    StatusUpdate update{guard_.status()};
+    for (const auto& guest : guests_)
+        guest->send(update);
+}
+
+void Peers::queryConfig()
+{
+    if (peers_.empty())
+        return;
+    auto turn = queryTurn_++ % peers_.size();
+    auto peer = std::next(peers_.begin(), static_cast<std::ptrdiff_t>(turn));
+    if (peer->second->link)
+        peer->second->link->send(ConfigQuery{host_.configVersion()});
+}
+
+// A peer that holds offers and says nothing may be gone without a reset.
+void Peers::watch(Instant now, const PeerPointer& peer)
+{
+    if (!peer->link || peer->pending.empty())
+        return;
+    Instant oldest = now;
+    for (const auto& [serial, offer] : peer->pending)
+        oldest = std::min(oldest, offer.sentAt);
+    auto quietSince = std::max(oldest, peer->link->heardAt());
+    if (now - quietSince > lostAfter && peer->pingedAt > quietSince) {
+        peer->link->close();
+        return onLost(peer, "silent");
+    }
+    if (now - quietSince > pingAfter && peer->pingedAt <= quietSince) {
+        peer->pingedAt = now;
+        peer->link->send(Ping());
+    }
+}
+
+void Peers::endExpired(Instant now, const PeerPointer& peer)
+{
+    std::vector<Guard::Done> ended;
+    for (auto entry = peer->pending.begin(); entry != peer->pending.end();) {
+        if (!entry->second.isInquiry || now < entry->second.deadline) {
+            ++entry;
+            continue;
+        }
+        ended.push_back(std::move(entry->second.done));
+        entry = peer->pending.erase(entry);
+    }
+    for (auto& done : ended)
+        done(Unknown{Reason::PeerLost}, {});
+}
+
+void Peers::tick(Instant now)
+{
+    std::vector<PeerPointer> all;
+    for (const auto& [name, peer] : peers_)
+        all.push_back(peer);
+    for (const auto& peer : all) {
+        watch(now, peer);
+        endExpired(now, peer);
+        if (!peer->link && !peer->isConnecting && now >= peer->nextDial)
+            dial(peer);
+    }
+}
+
+void Peers::close()
+{
+    isClosed_ = true;
+    boost::system::error_code ignored; // the process ends
+    acceptor_.close(ignored);
+    for (const auto& guest : guests_)
+        guest->close();
+    for (const auto& [name, peer] : peers_) {
+        if (peer->link)
+            peer->link->close();
+    }
+}
+
+} // namespace balsamreel::Relay
--- /dev/null
+++ b/lib/Relay/StoreFollower.cpp
@@ -0,0 +1,111 @@
+#include "balsamreel/Relay/StoreFollower.h"
+
+#include <algorithm>
+
+namespace balsamreel::Relay {
+
+namespace {
+
+constexpr Duration callTimeout = std::chrono::milliseconds(1500);
+constexpr Duration watchWait = std::chrono::seconds(30);
+constexpr Duration watchTimeout = std::chrono::seconds(32);
+constexpr Duration firstRetry = std::chrono::milliseconds(250);
+constexpr Duration longestRetry = std::chrono::milliseconds(1000);
+constexpr unsigned maximumDoublings = 2;
+constexpr std::uint32_t ok = 200;
+constexpr std::uint32_t gone = 410;
+
+} // namespace
+
+StoreFollower::StoreFollower(Loop& loop, StoreCalls& calls, const StoreCodec& codec, Collection collection, Duration pause, std::uint64_t seed, EventLog& log, Handlers handlers)
+    : calls_(calls)
+    , codec_(codec)
+    , collection_(collection)
+    , pause_(pause)
+    , random_(seed)
+    , log_(log)
+    , handlers_(std::move(handlers))
+    , timer_(loop)
+{
+}
+
+void StoreFollower::later(Duration delay, std::function<void()> action)
+{
+    timer_.expires_after(delay);
+    timer_.async_wait([action = std::move(action)](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            action();
+    });
+}
+
+void StoreFollower::list(const std::string& after)
+{
+    if (after.empty())
+        listed_.clear();
+    calls_.call(codec_.list(collection_, after), callTimeout, [this](const StoreReply& reply) { onPage(reply); });
+}
+
+void StoreFollower::onPage(const StoreReply& reply)
+{
+    auto page = reply.status == ok ? codec_.readListing(reply.body) : std::nullopt;
+    if (!page)
+        return failed(reply, true);
+    reached();
+    // Changes between the pages are seen by a watch from the first page's revision.
+    if (listed_.empty())
+        revision_ = page->revision;
+    listed_.insert(listed_.end(), page->objects.begin(), page->objects.end());
+    if (page->isTruncated && !page->objects.empty())
+        return list(page->objects.back().name);
+    hasListed_ = true;
+    handlers_.onListing(listed_);
+    listed_.clear();
+    later(pause_, [this] { watch(); });
+}
+
+void StoreFollower::watch()
+{
+    calls_.call(codec_.watch(collection_, revision_, watchWait), watchTimeout, [this](const StoreReply& reply) { onChanges(reply); });
+}
+
+void StoreFollower::onChanges(const StoreReply& reply)
+{
+    if (reply.status == gone) {
+        log_.line(LogClass::Notable, "store-history-gone", "collection={} revision={}", Support::nameOf(collectionNames, collection_), revision_);
+        return list({});
+    }
+    auto changes = reply.status == ok ? codec_.readChanges(reply.body) : std::nullopt;
+    if (!changes)
+        return failed(reply, false);
+    reached();
+    revision_ = std::max(revision_, changes->revision);
+    for (const auto& object : changes->objects)
+        handlers_.onChange(object);
+    if (changes->objects.empty())
+        return watch();
+    later(pause_, [this] { watch(); });
+}
+
+void StoreFollower::reached()
+{
+    if (failures_ > 0)
+        log_.line(LogClass::Notable, "store-regained", "collection={} failures={}", Support::nameOf(collectionNames, collection_), failures_);
+    failures_ = 0;
+}
+
+void StoreFollower::failed(const StoreReply& reply, bool mustList)
+{
+    if (failures_ == 0)
+        log_.line(LogClass::Notable, "store-lost", "collection={} status={} bytes={}", Support::nameOf(collectionNames, collection_), reply.status, reply.body.size());
+    auto delay = std::min(longestRetry, firstRetry * (1U << std::min(failures_, maximumDoublings)));
+    delay += Duration(static_cast<Duration::rep>(static_cast<double>(delay.count()) * random_.fraction()));
+    ++failures_;
+    later(delay, [this, mustList] {
+        if (mustList)
+            list({});
+        else
+            watch();
+    });
+}
+
+} // namespace balsamreel::Relay
