--- a/include/balsamreel/Balance/Balancer.h
+++ b/include/balsamreel/Balance/Balancer.h
@@ -110,7 +110,9 @@
 /// The table of servers and the systems that run over it. Not thread-safe.
 class Balancer {
 public:
-    Balancer(std::string domain, std::uint64_t seed);
+    /// The other-domain cost is what a trip to a server in another failure domain of the region counts for.
+    Balancer(std::string domain, std::uint64_t seed, Support::Duration otherDomainCost = defaultOtherDomainCost);
+    static constexpr Support::Duration defaultOtherDomainCost = std::chrono::milliseconds(1);
     Balancer(const Balancer&) = delete;
     Balancer& operator=(const Balancer&) = delete;
 
@@ -149,6 +151,7 @@
     void learn(Support::Instant now, ServiceEntity&, ServerEntity&, const Feedback&);
 
     std::string domain_;
+    Support::Duration otherDomainCost_;
     std::string region_; ///< of the servers in this failure domain
     Support::Random random_;
     std::map<ServerId, ServerEntity> servers_;
--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -30,7 +30,8 @@
     /// The servers that may get work have changed.
     void updateServers();
 
-    void handle(const std::shared_ptr<CallerConnection>&, IncomingRequest&&);
+    /// A node that is about to end refuses what could outlast it.
+    void handle(const std::shared_ptr<CallerConnection>&, IncomingRequest&&, bool isEnding);
     void callerLeft(const std::shared_ptr<CallerConnection>&);
 
     std::size_t openCount() const { return calls_.size(); }
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -186,6 +186,7 @@
     double retryRatio = 0.2; ///< fleet-wide repeats per request of a service
     double retrySlack = 62; ///< fleet-wide repeats of a service on top, per window
     Duration retryWindow = std::chrono::seconds(10);
+    Duration otherDomainCost = std::chrono::milliseconds(100); ///< waiting that is worth avoiding bytes between failure domains
 };
 
 } // namespace balsamreel::Relay
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -13,7 +13,6 @@
 
 // What a guard's load stamp tells halves in this time: the calls it counted have ended by then.
 constexpr double stampHalfLifeMicros = 50'000;
-constexpr double otherDomainMicros = 1000;
 constexpr double otherRegionMicros = 20'000;
 constexpr double unknownTypicalMicros = 1000;
 constexpr double failureMicros = 100'000;
@@ -95,8 +94,9 @@
     bool takesUnfit = false; ///< ejected and suspected servers too
 };
 
-Balancer::Balancer(std::string domain, std::uint64_t seed)
+Balancer::Balancer(std::string domain, std::uint64_t seed, Duration otherDomainCost)
     : domain_(std::move(domain))
+    , otherDomainCost_(otherDomainCost)
     , random_(seed)
 {
 }
@@ -149,7 +149,7 @@
     if (facts.domain == domain_)
         return 0;
     bool isOtherRegion = !region_.empty() && facts.region != region_;
-    return isOtherRegion ? otherRegionMicros : otherDomainMicros;
+    return isOtherRegion ? otherRegionMicros : static_cast<double>(otherDomainCost_.count());
 }
 
 // An attempt that has been open for longer than usual tells of a slow server before its answer does.
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -51,7 +51,7 @@
     , peers_(peers)
     , log_(log)
     , metrics_(metrics)
-    , balancer_(settings.domain, boot)
+    , balancer_(settings.domain, boot, settings.otherDomainCost)
     , allowance_({settings.retryRatio, settings.retrySlack, settings.retryWindow})
     , random_(boot + 1)
 {
@@ -93,12 +93,14 @@
     caller->answer(answer);
 }
 
-void Entry::handle(const std::shared_ptr<CallerConnection>& caller, IncomingRequest&& incoming)
+void Entry::handle(const std::shared_ptr<CallerConnection>& caller, IncomingRequest&& incoming, bool isEnding)
 {
     auto& request = incoming.request;
     auto id = incoming.fields[boost::beast::string_view(names_.attemptId.data(), names_.attemptId.size())];
     request.attemptId = std::string(id.data(), id.size());
     request.headers = endToEndHeaders(incoming.fields, {"host", "expect", names_.attemptId, names_.timeoutMillis, names_.expectedInstance, names_.originService});
+    if (isEnding)
+        return refuseUnrouted(caller, request, Reason::ShuttingDown, serviceUnavailable);
     if (!routes_)
         return refuseUnrouted(caller, request, Reason::NoConfiguration, serviceUnavailable);
     const auto* route = routes_->match(request.host, request.target);
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -23,7 +23,9 @@
 constexpr Duration configQueryInterval = std::chrono::milliseconds(500);
 // Callers are still sent here until the platform has seen that the node is not ready.
 constexpr Duration shortestShutdown = std::chrono::milliseconds(2500);
-constexpr Duration shutdownReserve = std::chrono::milliseconds(250);
+// A request that is taken later than this after the start of a shutdown might not end before the process does.
+constexpr Duration shutdownIntake = std::chrono::milliseconds(3000);
+constexpr Duration shutdownReserve = std::chrono::milliseconds(400);
 constexpr auto shutdownCheckInterval = std::chrono::milliseconds(50);
 constexpr std::string_view metricsPath = "/metrics";
 
@@ -120,7 +122,10 @@
 CallerConnection::Host Node::callerHost()
 {
     CallerConnection::Host host;
-    host.onRequest = [this](const auto& caller, IncomingRequest&& incoming) { entry_.handle(caller, std::move(incoming)); };
+    host.onRequest = [this](const auto& caller, IncomingRequest&& incoming) {
+        bool isTooLate = isShuttingDown_ && Support::monotonicNow() - shutdownSince_ > shutdownIntake;
+        entry_.handle(caller, std::move(incoming), isTooLate);
+    };
     host.onCallerLeft = [this](const auto& caller) { entry_.callerLeft(caller); };
     host.onClosed = [this](const auto& caller) { callers_.erase(caller); };
     host.limits = [this] { return limits_; };
