Hold work while neighbours slow its server's VM

Ruled out: queueing (queued_us near 0), load (a quarter of the slots in use). Change: the guard asks for the pace before a start, within the probe budget, holds work as long as its goal allows, and then sends it elsewhere; neighbours in the domain are told.

--- a/include/balsamreel/Balance/Balancer.h
+++ b/include/balsamreel/Balance/Balancer.h
@@ -75,6 +75,7 @@
     std::optional<Support::Instant> ejectedUntil;
     std::optional<Support::Instant> refusedUntil; ///< its guard refused work and named a wait
     std::optional<Support::Instant> warmingSince; ///< gets a rising share from then on
+    std::optional<Support::Instant> slowedAt; ///< its VM was said to be slowed down by neighbours
     std::optional<Support::Instant> heardAt; ///< last answer or probe reply
 };
 
@@ -129,6 +130,9 @@
     /// A guard answered a probe; slowness is its server's latency relative to the usual one, if it knows.
     void probed(Support::Instant now, const ServerId&, const Wire::LoadStamp&, std::optional<double> slowness);
 
+    /// A server's VM is slowed down by neighbours, or no longer; work that starts there waits for its end.
+    void paceChanged(Support::Instant now, const ServerId&, bool isSlowed);
+
     const std::map<ServerId, ServerEntity>& servers() const { return servers_; }
     const std::map<std::string, ServiceEntity>& services() const { return services_; }
     bool knowsService(const std::string& service) const { return services_.contains(service); }
--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -30,6 +30,9 @@
     /// The servers that may get work have changed.
     void updateServers();
 
+    /// A server in this failure domain is slowed down by neighbours, or no longer.
+    void paceChanged(const Balance::ServerId& server, bool isSlowed) { balancer_.paceChanged(Support::monotonicNow(), server, isSlowed); }
+
     /// A node that is about to end refuses what could outlast it.
     void handle(const std::shared_ptr<CallerConnection>&, IncomingRequest&&, bool isEnding);
     void callerLeft(const std::shared_ptr<CallerConnection>&);
@@ -56,6 +59,7 @@
         unsigned placements = 0; ///< offers to guards
         unsigned sent = 0; ///< offers that may have reached a server
         bool mayHaveRun = false;
+        bool mustRun = false; ///< all servers were found slowed down; the next one is not to refuse for that
         std::optional<ServerAnswer> failedAnswer; ///< a server error that is delivered if no repeat does better
         std::optional<Attempt> attempt;
         boost::asio::steady_timer timer;
--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -5,6 +5,7 @@
 #include "balsamreel/Relay/EventLog.h"
 #include "balsamreel/Relay/HttpClientConnection.h"
 #include "balsamreel/Relay/LocalServer.h"
+#include "balsamreel/Relay/PaceHold.h"
 #include "balsamreel/Relay/PeerMessages.h"
 #include "balsamreel/Relay/SettledOffers.h"
 
@@ -44,13 +45,20 @@
     /// The node leaves: no other node is to offer work any more.
     void close();
 
+    /// Where the server tells its health; empty: it isn't asked.
+    void setHealthPath(const std::string& path) { healthPath_ = path; }
+
     ServerStatus status() const;
+    bool isSlowed() const { return isSlowed_; }
     Wire::LoadStamp stamp() const;
     std::size_t openCount() const { return jobs_.size(); }
 
     /// Called whenever status() has changed.
     std::function<void()> onStatusChange;
 
+    /// Called whenever isSlowed() has changed.
+    std::function<void()> onPaceChange;
+
 private:
     struct Job {
         OfferKey key;
@@ -59,12 +67,18 @@
         Instant offeredAt;
         Instant deadline;
         Instant startedAt;
+        bool wasSlowed = false; ///< started while the server was slowed down
         std::shared_ptr<HttpClientConnection> connection; ///< set while it runs
     };
 
     void refuse(const OfferKey&, const Offer&, NotRun, const Done&);
     void resolve(const std::vector<Admission::Resolution>&);
     void run(std::uint64_t ticket);
+    void start(std::uint64_t ticket);
+    void observe();
+    void observed(const HttpResult&);
+    bool notePace(std::string_view load); ///< false if it can't be read
+    void releaseHeld();
     void settle(std::uint64_t ticket, HttpResult);
     void conclude(std::uint64_t ticket, const Outcome&, bool hasSucceeded);
     Outcome outcomeOf(const Job&, HttpResult);
@@ -85,6 +99,15 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs_;
     std::map<OfferKey, std::uint64_t> tickets_;
     SettledOffers settled_;
+    PaceHold hold_;
+    std::vector<std::uint64_t> held_; ///< admitted, waiting for the server's pace
+    std::string healthPath_;
+    std::shared_ptr<HttpClientConnection> probe_;
+    boost::asio::steady_timer probeTimer_;
+    Instant lastProbe_;
+    bool isProbing_ = false;
+    bool isProbeScheduled_ = false;
+    bool isSlowed_ = false;
     std::vector<std::shared_ptr<HttpClientConnection>> idle_; ///< the last used comes last
     boost::asio::steady_timer tick_;
     bool isTickScheduled_ = false;
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -101,6 +101,7 @@
     NoServer,
     Overloaded,
     DeadlineTooNear,
+    ServerSlowed, ///< neighbours on its VM slow it down
     ServerLeaving,
     WrongServer,
     ServerShed,
@@ -114,7 +115,7 @@
     BadRequest,
     ShuttingDown };
 
-constexpr Support::NameTable<Reason, 17> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerBroke, "server-broke"}, {Reason::BadAnswer, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}}};
+constexpr Support::NameTable<Reason, 18> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerBroke, "server-broke"}, {Reason::BadAnswer, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}}};
 
 /// The attempt did not run and will not.
 struct NotRun {
@@ -186,6 +187,7 @@
     double retryRatio = 0.2; ///< fleet-wide repeats per request of a service
     double retrySlack = 62; ///< fleet-wide repeats of a service on top, per window
     Duration retryWindow = std::chrono::seconds(10);
+    double probesPerSecond = 60; ///< of one server, at most
     Duration otherDomainCost = std::chrono::milliseconds(100); ///< waiting that is worth avoiding bytes between failure domains
 };
 
--- /dev/null
+++ b/include/balsamreel/Relay/PaceHold.h
@@ -0,0 +1,63 @@
+// Whether work starts now or waits while its server's VM is slowed down by neighbours. Pure decisions.
+#pragma once
+
+#include "balsamreel/Relay/Model.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace balsamreel::Relay {
+
+/// What is known of the server's pace.
+enum class Pace : std::uint8_t { Unknown, ///< not observed, or not lately
+    Usual,
+    Slowed };
+
+/// What to do with work that has a slot.
+enum class StartDecision : std::uint8_t { Start,
+    Observe, ///< the pace has to be observed first
+    Hold, ///< until the pace changes or holdUntil()
+    SendElsewhere };
+
+/// Answers the load of servers that share their VMs: for a tenth of a second at a time all work that
+/// starts takes several times as long, and a short wait, or another server, answers the caller sooner.
+class PaceHold {
+public:
+    explicit PaceHold(Duration observationInterval);
+
+    /// The server told its pace, in percent of the usual time of work.
+    void observed(Instant now, std::uint32_t pacePercent);
+
+    /// The server does not tell its pace; work starts at once from now on.
+    void unobservable() { isObservable_ = false; }
+
+    /// Another server process: nothing is known of it.
+    void reset();
+
+    /// Work that started at the usual pace has ended.
+    void finished(const std::string& route, Duration service);
+
+    Pace pace(Instant now) const;
+
+    struct Work {
+        std::string route;
+        Instant goal; ///< after which the answer is late
+        bool canGoElsewhere = false;
+    };
+    StartDecision decide(Instant now, const Work&) const;
+
+    /// Until when the work can wait and still be answered by its goal at the usual pace.
+    Instant holdUntil(const Work&) const;
+
+    Duration observationInterval() const { return interval_; }
+
+private:
+    Duration interval_;
+    bool isObservable_ = true;
+    std::optional<Instant> observedAt_;
+    std::optional<Instant> slowedSince_;
+    std::unordered_map<std::string, Duration> typical_; ///< per route, at the usual pace
+};
+
+} // namespace balsamreel::Relay
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -66,6 +66,14 @@
     void serialize(Archive& archive) { archive(status); }
 };
 
+/// The pace of the sender's server has changed; sent within a failure domain only.
+struct PaceUpdate {
+    bool isSlowed = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(isSlowed); }
+};
+
 /// Asks for the configuration if the receiver has a newer one.
 struct ConfigQuery {
     std::uint64_t version = 0;
@@ -91,13 +99,14 @@
     bool isIdempotent = false;
     bool isRepeat = false; ///< another server had it before
     bool isNested = false; ///< a call of a running request
+    bool canGoElsewhere = false; ///< the sender has another server for it
     std::uint32_t timeoutMicros = 0; ///< left until nobody waits any more
     std::uint32_t goalMicros = 0; ///< left until the answer loses most of its value
     std::string originService; ///< of the VM where the request began
     Request request;
 
     template <typename Archive>
-    void serialize(Archive& archive) { archive(serial, instance, route, priority, isIdempotent, isRepeat, isNested, timeoutMicros, goalMicros, originService, request); }
+    void serialize(Archive& archive) { archive(serial, instance, route, priority, isIdempotent, isRepeat, isNested, canGoElsewhere, timeoutMicros, goalMicros, originService, request); }
 };
 
 /// The end of an offer, with the load of the guard.
@@ -136,7 +145,7 @@
     void serialize(Archive&) { }
 };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, ConfigQuery, ConfigDocument, Offer, OfferResult, Cancel, Inquiry, Ping, Pong>;
+using PeerMessage = std::variant<Hello, StatusUpdate, ConfigQuery, ConfigDocument, Offer, OfferResult, Cancel, Inquiry, Ping, Pong, PaceUpdate>;
 
 /// A whole frame with its length.
 std::string encodeFrame(const PeerMessage&);
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -35,6 +35,7 @@
         std::function<std::string()> configText;
         std::function<void(const std::string&)> onConfigText; ///< from a peer that has a newer one
         std::function<void()> onServersChanged;
+        std::function<void(const std::string& node, const Support::Endpoint& server, bool isSlowed)> onPace; ///< in the own failure domain
     };
 
     Peers(Loop&, const NodeSettings&, std::uint64_t boot, Guard&, EventLog&, Host);
@@ -55,6 +56,9 @@
     /// Tells all nodes the status of the local server.
     void publishStatus();
 
+    /// Tells the nodes of this failure domain whether the local server is slowed down.
+    void publishPace();
+
     /// Asks a few nodes for a newer configuration.
     void queryConfig();
 
@@ -112,6 +116,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<std::string, PeerPointer> peers_;
     std::vector<std::shared_ptr<PeerLink>> guests_; ///< links that others have opened
+    std::vector<std::weak_ptr<PeerLink>> neighbours_; ///< guests of the own failure domain
     std::size_t queryTurn_ = 0;
     bool isClosed_ = false;
 };
--- a/lib/Balance/Balancer.cpp
+++ b/lib/Balance/Balancer.cpp
@@ -20,6 +20,9 @@
 constexpr double firstWarmingShare = 0.1;
 // Servers that are there when the entry starts are not taken for cold.
 constexpr Duration settlingTime = std::chrono::seconds(5);
+// Neighbours slow a VM for a tenth of a second or two at a time.
+constexpr Duration slowedTime = std::chrono::milliseconds(300);
+constexpr double slowedWaitMicros = 80'000;
 constexpr Duration shortestRefusal = std::chrono::milliseconds(5);
 constexpr Duration longestRefusal = std::chrono::seconds(1);
 constexpr double slowAbandonedRatio = 3;
@@ -182,6 +185,8 @@
     double utilization = std::min(1.0, load / limit);
     double queued = std::max(0.0, load + 1 - limit) / limit * work;
     double wait = std::max(queued, server.stamp.waitMicros * weight);
+    if (server.slowedAt && now - *server.slowedAt < slowedTime)
+        wait += slowedWaitMicros;
     return work * (1 + utilization * utilization) + wait + tripMicros(server.facts) + server.health.failureShare(now) * failureMicros;
 }
 
@@ -340,6 +345,14 @@
     learn(now, services_[server.facts.service], server, feedback);
 }
 
+void Balancer::paceChanged(Instant now, const ServerId& id, bool isSlowed)
+{
+    auto found = servers_.find(id);
+    if (found == servers_.end())
+        return;
+    found->second.slowedAt = isSlowed ? std::optional(now) : std::nullopt;
+}
+
 void Balancer::probed(Instant now, const ServerId& id, const Wire::LoadStamp& stamp, std::optional<double> slowness)
 {
     auto found = servers_.find(id);
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -135,6 +135,10 @@
     if (call->placements >= maximumPlacements || now >= call->deadline)
         return refuse(call, ifNone);
     auto choice = balancer_.choose(now, call->service, false, call->tried);
+    if (!choice && ifNone.reason == Reason::ServerSlowed) {
+        call->mustRun = true;
+        choice = balancer_.choose(now, call->service, false, {});
+    }
     if (!choice)
         return refuse(call, ifNone);
     auto instance = instanceOf(choice->server);
@@ -161,6 +165,7 @@
     offer.isIdempotent = call.route->isIdempotent;
     offer.isRepeat = call.sent > 0;
     offer.isNested = call.route->priority == 0;
+    offer.canGoElsewhere = !call.mustRun && call.placements < maximumPlacements;
     offer.timeoutMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(1, (call.deadline - now).count()));
     offer.goalMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(0, (std::min(call.goal, call.deadline) - now).count()));
     offer.originService = settings_.service;
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -18,6 +18,9 @@
 constexpr Duration freshConnection = std::chrono::seconds(1);
 constexpr Duration shedWait = std::chrono::milliseconds(150);
 constexpr std::uint32_t misdirected = 421;
+constexpr double microsPerSecond = 1e6;
+// A server that is slow to tell its pace gets its work without it.
+constexpr auto probeTimeout = std::chrono::milliseconds(15);
 
 Admission::GateOptions gateOptions(std::uint32_t announcedSlots)
 {
@@ -61,6 +64,8 @@
     , log_(log)
     , server_(settings.service, settings.server)
     , gate_(gateOptions(slotsBeforeAnnouncement))
+    , hold_(Duration(static_cast<Duration::rep>(microsPerSecond / std::max(1.0, settings.probesPerSecond))))
+    , probeTimer_(loop)
     , tick_(loop)
 {
 }
@@ -96,6 +101,7 @@
     if (now.instance != before.instance) {
         log_.line(LogClass::Notable, "server-state", "service={} before={} now={} slots={}", now.service, before.instance, now.instance, now.slots);
         idle_.clear();
+        hold_.reset();
     }
     onStatusChange();
 }
@@ -150,7 +156,7 @@
     auto decision = gate_.offer(now, ticket);
     if (const auto* refused = std::get_if<Admission::Refused>(&decision))
         return refuse(key, offer, {reasonOf(refused->reason), refused->expectedWait, false}, done);
-    jobs_[ticket.id] = std::make_unique<Job>(Job{key, offer, std::move(done), now, now + Duration(offer.timeoutMicros), now, nullptr});
+    jobs_[ticket.id] = std::make_unique<Job>(Job{key, offer, std::move(done), now, now + Duration(offer.timeoutMicros), now, false, nullptr});
     tickets_[key] = ticket.id;
     if (std::holds_alternative<Admission::Admitted>(decision))
         run(ticket.id);
@@ -200,8 +206,114 @@
     return headers;
 }
 
-// Admission may come after the server has begun to leave or the time has passed: both are checked once more right before sending.
 void Guard::run(std::uint64_t ticket)
+{
+    auto found = jobs_.find(ticket);
+    if (found == jobs_.end())
+        return;
+    auto& job = *found->second;
+    PaceHold::Work work{job.offer.route, job.offeredAt + Duration(job.offer.goalMicros), job.offer.canGoElsewhere};
+    switch (hold_.decide(Support::monotonicNow(), work)) {
+    case StartDecision::Observe:
+    case StartDecision::Hold:
+        held_.push_back(ticket);
+        return observe();
+    case StartDecision::SendElsewhere:
+        return conclude(ticket, NotRun{Reason::ServerSlowed, {}, false}, false);
+    case StartDecision::Start:
+        break;
+    }
+    start(ticket);
+}
+
+// Asks the server for its pace, as often as the budget allows.
+void Guard::observe()
+{
+    if (isProbing_ || isProbeScheduled_)
+        return;
+    if (healthPath_.empty()) {
+        hold_.unobservable();
+        return releaseHeld();
+    }
+    auto now = Support::monotonicNow();
+    auto next = lastProbe_ + hold_.observationInterval();
+    if (now < next) {
+        isProbeScheduled_ = true;
+        probeTimer_.expires_at(next);
+        probeTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+            isProbeScheduled_ = false;
+            if (!cancelled && !held_.empty())
+                observe();
+        });
+        return;
+    }
+    lastProbe_ = now;
+    isProbing_ = true;
+    if (!probe_ || !probe_->isReusable(now))
+        probe_ = std::make_shared<HttpClientConnection>(loop_, settings_.server);
+    Request request;
+    request.method = "GET";
+    request.target = healthPath_;
+    request.host = settings_.server.text();
+    probeTimer_.expires_after(probeTimeout);
+    probeTimer_.async_wait([this, connection = probe_](const boost::system::error_code& cancelled) {
+        if (cancelled || !isProbing_ || connection != probe_)
+            return;
+        probe_->close();
+        observed(HttpFailure::Broke);
+    });
+    probe_->exchange(requestText(request, {}), {}, false, [this, connection = probe_](const HttpResult& result) {
+        if (connection == probe_ && isProbing_)
+            observed(result);
+    });
+}
+
+void Guard::observed(const HttpResult& result)
+{
+    isProbing_ = false;
+    probeTimer_.cancel();
+    const auto* reply = std::get_if<HttpReply>(&result);
+    if (reply) {
+        auto load = reply->fields[boost::beast::string_view(names_.load.data(), names_.load.size())];
+        if (!notePace({load.data(), load.size()}))
+            hold_.unobservable();
+    } else {
+        // Without an answer nothing speaks for waiting.
+        auto waiting = std::move(held_);
+        held_.clear();
+        for (auto ticket : waiting)
+            start(ticket);
+    }
+    releaseHeld();
+}
+
+bool Guard::notePace(std::string_view load)
+{
+    auto report = readLoad_(load);
+    if (!report)
+        return false;
+    auto now = Support::monotonicNow();
+    hold_.observed(now, report->pacePercent);
+    bool isSlowed = hold_.pace(now) == Pace::Slowed;
+    if (isSlowed == isSlowed_)
+        return true;
+    isSlowed_ = isSlowed;
+    onPaceChange();
+    if (!isSlowed)
+        releaseHeld();
+    return true;
+}
+
+void Guard::releaseHeld()
+{
+    auto waiting = std::move(held_);
+    held_.clear();
+    for (auto ticket : waiting)
+        run(ticket);
+}
+
+// Admission may come after the server has begun to leave or the time has passed: both are checked once more right before sending.
+void Guard::start(std::uint64_t ticket)
 {
     auto found = jobs_.find(ticket);
     if (found == jobs_.end())
@@ -214,6 +326,7 @@
     if (now >= job.deadline)
         return conclude(ticket, NotRun{Reason::DeadlineTooNear, {}, false}, false);
     job.startedAt = now;
+    job.wasSlowed = hold_.pace(now) == Pace::Slowed;
     job.connection = takeConnection(job.offer.isIdempotent, now);
     auto text = requestText(job.offer.request, addedHeaders(job, now));
     job.connection->exchange(std::move(text), {names_.attemptId, job.offer.request.attemptId}, job.offer.request.method == "HEAD", [this, ticket](HttpResult result) { settle(ticket, std::move(result)); });
@@ -264,6 +377,10 @@
     auto& job = *found->second;
     if (job.connection->isReusable(Support::monotonicNow()))
         idle_.push_back(job.connection);
+    if (const auto* reply = std::get_if<HttpReply>(&result)) {
+        auto load = reply->fields[boost::beast::string_view(names_.load.data(), names_.load.size())];
+        notePace({load.data(), load.size()});
+    }
     auto outcome = outcomeOf(job, std::move(result));
     const auto* answer = std::get_if<ServerAnswer>(&outcome);
     conclude(ticket, outcome, answer && answer->status < 500);
@@ -278,10 +395,12 @@
     tickets_.erase(job.key);
     auto now = Support::monotonicNow();
     auto next = gate_.finish(now, ticket, hasSucceeded);
+    if (hasSucceeded && !job.wasSlowed)
+        hold_.finished(job.offer.route, now - job.startedAt);
     if (!job.offer.isIdempotent)
         settled_.add(now, job.key, outcome);
     const auto* answer = std::get_if<ServerAnswer>(&outcome);
-    log_.line(hasSucceeded ? LogClass::Routine : LogClass::Notable, "guard-ran", "id={} route={} status={} reason={} queued_us={} ran_us={}", job.offer.request.attemptId, job.offer.route, answer ? answer->status : 0, Support::nameOf(reasonNames, reasonOf(outcome)), (job.startedAt - job.offeredAt).count(), (now - job.startedAt).count());
+    log_.line(hasSucceeded ? LogClass::Routine : LogClass::Notable, "guard-ran", "id={} route={} status={} reason={} slowed={} queued_us={} ran_us={}", job.offer.request.attemptId, job.offer.route, answer ? answer->status : 0, Support::nameOf(reasonNames, reasonOf(outcome)), job.wasSlowed, (job.startedAt - job.offeredAt).count(), (now - job.startedAt).count());
     if (job.done)
         job.done(outcome, stamp());
     resolve(next);
@@ -296,11 +415,8 @@
     auto& job = *jobs_.at(ticket);
     job.done = nullptr;
     if (!job.connection) {
-        gate_.cancel(ticket);
-        settled_.add(Support::monotonicNow(), key, NotRun{Reason::CallerLeft, {}, false});
-        jobs_.erase(ticket);
-        tickets_.erase(key);
-        return;
+        gate_.cancel(ticket); // of use if it waits for a slot; conclude() gives back a slot that it has
+        return conclude(ticket, NotRun{Reason::CallerLeft, {}, false}, false);
     }
     if (!job.offer.isIdempotent)
         return;
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -46,7 +46,7 @@
     , boot_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, STDOUT_FILENO)
     , guard_(loop, settings_, codec_.headers, codec_.readLoad, log_)
-    , peers_(loop, settings_, boot_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { takeConfig(content, "peer"); }, [this] { entry_.updateServers(); }})
+    , peers_(loop, settings_, boot_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { takeConfig(content, "peer"); }, [this] { entry_.updateServers(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.paceChanged({node, server}, isSlowed); }})
     , entry_(loop, settings_, codec_.headers, boot_, guard_, peers_, log_, metrics_)
     , storeCalls_(loop, settings_.store)
     , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configPause, boot_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
@@ -74,6 +74,10 @@
         peers_.publishStatus();
         entry_.updateServers();
     };
+    guard_.onPaceChange = [this] {
+        peers_.publishPace();
+        entry_.paceChanged({settings_.name, settings_.server}, guard_.isSlowed());
+    };
 }
 
 void Node::start()
@@ -209,7 +213,10 @@
     configVersion_ = config->version;
     configContent_ = content;
     limits_ = config->limits;
-    entry_.setRoutes(std::make_shared<RouteTable>(std::move(*config)));
+    auto routes = std::make_shared<RouteTable>(std::move(*config));
+    const auto* own = routes->service(settings_.service);
+    guard_.setHealthPath(own ? own->healthPath : std::string());
+    entry_.setRoutes(std::move(routes));
 }
 
 void Node::takeNode(const StoredObject& object)
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -84,6 +84,8 @@
             return link->close();
         }
         guestBoot = greeting->boot;
+        if (greeting->sender.domain == self_.domain)
+            neighbours_.push_back(link);
         link->send(hello());
         shareConfig(link, greeting->configVersion);
         auto known = greeting->peers;
@@ -214,6 +216,8 @@
         log_.line(LogClass::Notable, "peer-status", "peer={} service={} instance={}", peer->entry.name, update->status.service, update->status.instance);
         return host_.onServersChanged();
     }
+    if (const auto* pace = std::get_if<PaceUpdate>(&message))
+        return host_.onPace(peer->entry.name, peer->status.address, pace->isSlowed);
     if (const auto* document = std::get_if<ConfigDocument>(&message))
         host_.onConfigText(document->text);
 }
@@ -305,6 +309,16 @@
         peer.link->send(Cancel{serial});
 }
 
+void Peers::publishPace()
+{
+    std::erase_if(neighbours_, [](const auto& weak) { return weak.expired(); });
+    PaceUpdate update{guard_.isSlowed()};
+    for (const auto& weak : neighbours_) {
+        if (auto link = weak.lock())
+            link->send(update);
+    }
+}
+
 void Peers::publishStatus()
 {
     StatusUpdate update{guard_.status()};
