--- /dev/null
+++ b/unittests/Relay/LocalServerTest.cpp
@@ -0,0 +1,86 @@
+#include "balsamreel/Relay/LocalServer.h"
+
+#include <gtest/gtest.h>
+
+namespace balsamreel::Relay {
+
+namespace {
+
+const Support::Endpoint address{"10.0.0.1", 8000};
+
+Announcement announcement(std::string instance, std::int64_t born, std::uint64_t sequence, ServerState state = ServerState::Ready)
+{
+    Announcement announcement;
+    announcement.instance = std::move(instance);
+    announcement.address = address;
+    announcement.service = "plots";
+    announcement.slots = 4;
+    announcement.state = state;
+    announcement.sequence = sequence;
+    announcement.bornMillis = born;
+    return announcement;
+}
+
+class LocalServerTest : public testing::Test {
+protected:
+    LocalServer server_{"plots", address};
+};
+
+} // namespace
+
+TEST_F(LocalServerTest, GetsNoWorkBeforeItIsAnnounced)
+{
+    EXPECT_EQ(server_.ready(), nullptr);
+    EXPECT_TRUE(server_.announce(announcement("a", 1, 1)));
+    ASSERT_NE(server_.ready(), nullptr);
+    EXPECT_EQ(server_.ready()->instance, "a");
+}
+
+TEST_F(LocalServerTest, IgnoresAnnouncementsOfOtherServers)
+{
+    auto other = announcement("a", 1, 1);
+    other.service = "rules";
+    EXPECT_FALSE(server_.announce(other));
+    other = announcement("a", 1, 1);
+    other.address.port = 8001;
+    EXPECT_FALSE(server_.announce(other));
+    EXPECT_EQ(server_.ready(), nullptr);
+}
+
+TEST_F(LocalServerTest, ALateReadyDoesNotUndoDraining)
+{
+    server_.announce(announcement("a", 1, 5));
+    server_.announce(announcement("a", 1, 7, ServerState::Draining));
+    EXPECT_EQ(server_.ready(), nullptr);
+    server_.announce(announcement("a", 1, 6));
+    EXPECT_EQ(server_.ready(), nullptr);
+    server_.announce(announcement("a", 1, 8));
+    EXPECT_EQ(server_.ready(), nullptr) << "draining is final for one process";
+}
+
+TEST_F(LocalServerTest, AServerThatLeftStaysAwayUntilItIsStartedAgain)
+{
+    server_.announce(announcement("a", 100, 5));
+    server_.leave("a", std::nullopt);
+    EXPECT_EQ(server_.ready(), nullptr);
+    EXPECT_FALSE(server_.announce(announcement("a", 100, 6)));
+    EXPECT_EQ(server_.ready(), nullptr);
+    EXPECT_TRUE(server_.announce(announcement("a", 200, 1))) << "the same id, started again";
+    EXPECT_NE(server_.ready(), nullptr);
+}
+
+TEST_F(LocalServerTest, ADelayedAnnouncementOfADeadProcessDoesNotReplaceItsSuccessor)
+{
+    server_.announce(announcement("b", 200, 1));
+    EXPECT_FALSE(server_.announce(announcement("a", 100, 50)));
+    EXPECT_EQ(server_.ready()->instance, "b");
+}
+
+TEST_F(LocalServerTest, ADelayedLeaveOfAnEarlierProcessDoesNotEndTheCurrentOne)
+{
+    server_.announce(announcement("a", 200, 1));
+    server_.leave("a", 100);
+    EXPECT_NE(server_.ready(), nullptr);
+}
+
+} // namespace balsamreel::Relay
