Compare a server's pace with its own; adopt a running server at start; fetch state from peers on demand

Each greeting carried the configuration and all peers. Change: pace against the least of the last 0.7 s; the gate does not count time before work begins; two placements for slowed servers, then it runs; the configuration is asked for only while the store is away; a starting node asks its server for its id.

--- a/include/balsamreel/Admission/Gate.h
+++ b/include/balsamreel/Admission/Gate.h
@@ -52,6 +52,12 @@
     /// The work of an admitted ticket has ended; gives the tickets that run next.
     std::vector<Resolution> finish(Support::Instant now, std::uint64_t ticket, bool hasSucceeded);
 
+    /// An admitted ticket has waited with its slot and begins now; what comes before does not count as its work.
+    void begin(Support::Instant now, std::uint64_t ticket);
+
+    /// An admitted ticket gives its slot back without having begun; gives the tickets that run next.
+    std::vector<Resolution> withdraw(Support::Instant now, std::uint64_t ticket);
+
     /// The caller of a ticket has left; for an admitted one call finish() instead.
     void cancel(std::uint64_t ticket);
 
--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -46,7 +46,7 @@
     void close();
 
     /// Where the server tells its health; empty: it isn't asked.
-    void setHealthPath(const std::string& path) { healthPath_ = path; }
+    void setHealthPath(const std::string& path);
 
     ServerStatus status() const;
     bool isSlowed() const { return isSlowed_; }
@@ -77,6 +77,8 @@
     void start(std::uint64_t ticket);
     void observe();
     void observed(const HttpResult&);
+    void adopt();
+    void onAdoption(const HttpResult&);
     bool notePace(std::string_view load); ///< false if it can't be read
     void releaseHeld();
     void settle(std::uint64_t ticket, HttpResult);
@@ -108,6 +110,8 @@
     bool isProbing_ = false;
     bool isProbeScheduled_ = false;
     bool isSlowed_ = false;
+    boost::asio::steady_timer adoptTimer_;
+    std::shared_ptr<HttpClientConnection> adoption_; ///< asks an unannounced server for its id
     std::vector<std::shared_ptr<HttpClientConnection>> idle_; ///< the last used comes last
     boost::asio::steady_timer tick_;
     bool isTickScheduled_ = false;
--- a/include/balsamreel/Relay/LocalServer.h
+++ b/include/balsamreel/Relay/LocalServer.h
@@ -17,6 +17,12 @@
     /// Takes an announcement; false if it is older than what is known or names another server.
     bool announce(const Announcement&);
 
+    /// Takes a server that was found healthy before it has announced itself; its first announcement replaces it.
+    void adopt(const std::string& instance, std::uint32_t slots);
+
+    /// The server has said something of itself since this node started.
+    bool hasHeard() const { return hasHeard_; }
+
     /// The process with this id leaves; later announcements of the same process are ignored.
     void leave(const std::string& instance, std::optional<std::int64_t> bornMillis);
 
@@ -33,6 +39,7 @@
     std::string service_;
     Support::Endpoint address_;
     std::optional<Announcement> current_;
+    bool hasHeard_ = false;
     std::map<std::string, std::int64_t> leftBorn_; ///< per id: start of the newest process that has left
 };
 
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -98,7 +98,8 @@
     std::string configContent_;
     CallerLimits limits_;
     Instant shutdownSince_;
-    Instant lastConfigQuery_;
+    Instant storeSeenAt_; ///< last moment at which both followers were connected
+    Instant lastStateQuery_;
     bool isShuttingDown_ = false;
     bool isServerGone_ = false; ///< the server beside this node has said that it ends
 };
--- a/include/balsamreel/Relay/PaceHold.h
+++ b/include/balsamreel/Relay/PaceHold.h
@@ -3,6 +3,7 @@
 
 #include "balsamreel/Relay/Model.h"
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -12,7 +13,7 @@
 /// What is known of the server's pace.
 enum class Pace : std::uint8_t { Unknown, ///< not observed, or not lately
     Usual,
-    Slowed };
+    Slowed }; ///< against its own pace of the last moments
 
 /// What to do with work that has a slot.
 enum class StartDecision : std::uint8_t { Start,
@@ -55,8 +56,15 @@
 private:
     Duration interval_;
     bool isObservable_ = true;
-    std::optional<Instant> observedAt_;
-    std::optional<Instant> slowedSince_;
+    struct Observation {
+        Instant at;
+        std::uint32_t pacePercent = 0;
+    };
+
+    void forget(Instant now);
+
+    std::deque<Observation> recent_; ///< paces rise from front to back: the front is the least of the last moments
+    std::optional<Observation> last_;
     std::unordered_map<std::string, Duration> typical_; ///< per route, at the usual pace
 };
 
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -53,10 +53,9 @@
     std::uint64_t boot = 0; ///< differs in each start of the process
     std::uint64_t configVersion = 0;
     ServerStatus status;
-    std::vector<NodeEntry> peers;
 
     template <typename Archive>
-    void serialize(Archive& archive) { archive(protocol, sender, boot, configVersion, status, peers); }
+    void serialize(Archive& archive) { archive(protocol, sender, boot, configVersion, status); }
 };
 
 struct StatusUpdate {
@@ -74,12 +73,19 @@
     void serialize(Archive& archive) { archive(isSlowed); }
 };
 
-/// Asks for the configuration if the receiver has a newer one.
-struct ConfigQuery {
-    std::uint64_t version = 0;
+/// Asks for the nodes that the receiver knows, and for its configuration if that is newer.
+struct StateQuery {
+    std::uint64_t configVersion = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(configVersion); }
+};
+
+struct PeerList {
+    std::vector<NodeEntry> peers;
 
     template <typename Archive>
-    void serialize(Archive& archive) { archive(version); }
+    void serialize(Archive& archive) { archive(peers); }
 };
 
 /// An accepted configuration in the form in which the store holds it.
@@ -145,7 +151,7 @@
     void serialize(Archive&) { }
 };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, ConfigQuery, ConfigDocument, Offer, OfferResult, Cancel, Inquiry, Ping, Pong, PaceUpdate>;
+using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, Offer, OfferResult, Cancel, Inquiry, Ping, Pong, PaceUpdate>;
 
 /// A whole frame with its length.
 std::string encodeFrame(const PeerMessage&);
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -59,8 +59,11 @@
     /// Tells the nodes of this failure domain whether the local server is slowed down.
     void publishPace();
 
-    /// Asks a few nodes for a newer configuration.
-    void queryConfig();
+    /// Asks one node for a newer configuration and for the nodes that it knows.
+    void queryState();
+
+    /// The newest version that a peer has named.
+    std::uint64_t newestConfigVersion() const { return newestConfigVersion_; }
 
     /// Does what is due: pings, lost links, inquiries.
     void tick(Instant now);
@@ -104,7 +107,8 @@
     void watch(Instant now, const PeerPointer&);
     void endExpired(Instant now, const PeerPointer&);
     Hello hello() const;
-    void shareConfig(const std::shared_ptr<PeerLink>&, std::uint64_t otherVersion);
+    void shareState(const std::shared_ptr<PeerLink>&, std::uint64_t otherVersion);
+    void noteConfigVersion(std::uint64_t version);
 
     Loop& loop_;
     const NodeSettings& settings_;
@@ -118,6 +122,7 @@
     std::vector<std::shared_ptr<PeerLink>> guests_; ///< links that others have opened
     std::vector<std::weak_ptr<PeerLink>> neighbours_; ///< guests of the own failure domain
     std::size_t queryTurn_ = 0;
+    std::uint64_t newestConfigVersion_ = 0;
     bool isClosed_ = false;
 };
 
--- a/lib/Admission/Gate.cpp
+++ b/lib/Admission/Gate.cpp
@@ -209,6 +209,24 @@
     return resolutions;
 }
 
+void Gate::begin(Instant now, std::uint64_t ticket)
+{
+    auto found = running_.find(ticket);
+    if (found != running_.end())
+        found->second.since = now;
+}
+
+std::vector<Resolution> Gate::withdraw(Instant now, std::uint64_t ticket)
+{
+    auto node = running_.extract(ticket);
+    if (node.empty())
+        return {};
+    runningLong_ -= node.mapped().lane == Lane::Long ? 1 : 0;
+    std::vector<Resolution> resolutions;
+    admitWaiting(now, resolutions);
+    return resolutions;
+}
+
 void Gate::cancel(std::uint64_t ticket)
 {
     queue_.remove(ticket);
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t firstServerError = 500;
 // Guards refuse without cost to the server; a call still ends soon where all are full.
 constexpr unsigned maximumPlacements = 4;
+// One other server is asked where the first is slowed down; then the call runs where it is.
+constexpr unsigned maximumSlowedPlacements = 2;
 constexpr Duration retryWithoutServers = std::chrono::milliseconds(300);
 constexpr Duration retryWithoutConfig = std::chrono::milliseconds(500);
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(30);
@@ -137,6 +139,7 @@
     auto choice = balancer_.choose(now, call->service, false, call->tried);
     if (!choice && ifNone.reason == Reason::ServerSlowed) {
         call->mustRun = true;
+        call->tried.clear();
         choice = balancer_.choose(now, call->service, false, {});
     }
     if (!choice)
@@ -165,7 +168,7 @@
     offer.isIdempotent = call.route->isIdempotent;
     offer.isRepeat = call.sent > 0;
     offer.isNested = call.route->priority == 0;
-    offer.canGoElsewhere = !call.mustRun && call.placements < maximumPlacements;
+    offer.canGoElsewhere = !call.mustRun && call.placements < maximumSlowedPlacements;
     offer.timeoutMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(1, (call.deadline - now).count()));
     offer.goalMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(0, (std::min(call.goal, call.deadline) - now).count()));
     offer.originService = settings_.service;
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -18,7 +18,9 @@
 constexpr Duration freshConnection = std::chrono::seconds(1);
 constexpr Duration shedWait = std::chrono::milliseconds(150);
 constexpr std::uint32_t misdirected = 421;
+constexpr std::uint32_t ok = 200;
 constexpr double microsPerSecond = 1e6;
+constexpr auto adoptInterval = std::chrono::milliseconds(200);
 // A server that is slow to tell its pace gets its work without it.
 constexpr auto probeTimeout = std::chrono::milliseconds(15);
 
@@ -66,6 +68,7 @@
     , gate_(gateOptions(slotsBeforeAnnouncement))
     , hold_(Duration(static_cast<Duration::rep>(microsPerSecond / std::max(1.0, settings.probesPerSecond))))
     , probeTimer_(loop)
+    , adoptTimer_(loop)
     , tick_(loop)
 {
 }
@@ -114,6 +117,53 @@
     return isAccepted;
 }
 
+void Guard::setHealthPath(const std::string& path)
+{
+    bool isFirst = healthPath_.empty() && !path.empty();
+    healthPath_ = path;
+    if (isFirst)
+        adopt();
+}
+
+// A node that starts beside a running server asks it who it is: its next announcement may be more than a second away.
+// A server that leaves says that it is not healthy.
+void Guard::adopt()
+{
+    if (server_.current() || server_.hasHeard() || isClosed_)
+        return;
+    adoption_ = std::make_shared<HttpClientConnection>(loop_, settings_.server);
+    Request request;
+    request.method = "GET";
+    request.target = healthPath_;
+    request.host = settings_.server.text();
+    adoption_->exchange(requestText(request, {}), {}, false, [this](const HttpResult& result) { onAdoption(result); });
+    adoptTimer_.expires_after(adoptInterval);
+    adoptTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (cancelled)
+            return;
+        adoption_->close();
+        adopt();
+    });
+}
+
+void Guard::onAdoption(const HttpResult& result)
+{
+    const auto* reply = std::get_if<HttpReply>(&result);
+    if (!reply || reply->status != ok || server_.current() || server_.hasHeard())
+        return;
+    auto value = [&](const std::string& name) {
+        auto text = reply->fields[boost::beast::string_view(name.data(), name.size())];
+        return std::string(text.data(), text.size());
+    };
+    auto load = readLoad_(value(names_.load));
+    auto instance = value(names_.instance);
+    if (instance.empty() || !load || load->slots == 0)
+        return;
+    auto before = status();
+    server_.adopt(instance, load->slots);
+    changed(before);
+}
+
 void Guard::leave(const std::string& instance, std::optional<std::int64_t> bornMillis)
 {
     auto before = status();
@@ -326,6 +376,7 @@
     if (now >= job.deadline)
         return conclude(ticket, NotRun{Reason::DeadlineTooNear, {}, false}, false);
     job.startedAt = now;
+    gate_.begin(now, ticket);
     job.wasSlowed = hold_.pace(now) == Pace::Slowed;
     job.connection = takeConnection(job.offer.isIdempotent, now);
     auto text = requestText(job.offer.request, addedHeaders(job, now));
@@ -394,7 +445,7 @@
     const auto& job = *node.mapped();
     tickets_.erase(job.key);
     auto now = Support::monotonicNow();
-    auto next = gate_.finish(now, ticket, hasSucceeded);
+    auto next = job.connection ? gate_.finish(now, ticket, hasSucceeded) : gate_.withdraw(now, ticket);
     if (hasSucceeded && !job.wasSlowed)
         hold_.finished(job.offer.route, now - job.startedAt);
     if (!job.offer.isIdempotent)
--- a/lib/Relay/LocalServer.cpp
+++ b/lib/Relay/LocalServer.cpp
@@ -1,5 +1,7 @@
 #include "balsamreel/Relay/LocalServer.h"
 
+#include <algorithm>
+#include <cassert>
 #include <limits>
 
 namespace balsamreel::Relay {
@@ -15,6 +17,7 @@
     // Only the one server on this VM can be reached from here.
     if (announcement.service != service_ || announcement.address != address_)
         return false;
+    hasHeard_ = true;
     auto left = leftBorn_.find(announcement.instance);
     if (left != leftBorn_.end() && announcement.bornMillis <= left->second)
         return false;
@@ -33,8 +36,20 @@
     return true;
 }
 
+void LocalServer::adopt(const std::string& instance, std::uint32_t slots)
+{
+    assert(!hasHeard_ && "what a server says of itself goes before what it was found to be");
+    Announcement found;
+    found.instance = instance;
+    found.address = address_;
+    found.service = service_;
+    found.slots = slots;
+    current_ = found;
+}
+
 void LocalServer::leave(const std::string& instance, std::optional<std::int64_t> bornMillis)
 {
+    hasHeard_ = true;
     bool isCurrent = current_ && current_->instance == instance;
     std::int64_t born = std::numeric_limits<std::int64_t>::min();
     if (bornMillis)
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -20,7 +20,8 @@
 // A change of the configuration has to be in force soon; changes of nodes may be gathered.
 constexpr Duration configPause = std::chrono::milliseconds(50);
 constexpr Duration nodePause = std::chrono::milliseconds(500);
-constexpr Duration configQueryInterval = std::chrono::milliseconds(500);
+constexpr Duration stateQueryInterval = std::chrono::milliseconds(500);
+constexpr Duration stateQueryDelay = std::chrono::milliseconds(250);
 // Callers are still sent here until the platform has seen that the node is not ready.
 constexpr Duration shortestShutdown = std::chrono::milliseconds(2500);
 // A request that is taken later than this after the start of a shutdown might not end before the process does.
@@ -95,6 +96,7 @@
     configFollower_.start();
     nodeFollower_.start();
     waitForSignals();
+    storeSeenAt_ = Support::monotonicNow();
     tick();
 }
 
@@ -285,9 +287,14 @@
 {
     auto now = Support::monotonicNow();
     peers_.tick(now);
-    if (!configFollower_.isConnected() && now - lastConfigQuery_ >= configQueryInterval) {
-        lastConfigQuery_ = now;
-        peers_.queryConfig();
+    bool hasStore = configFollower_.isConnected() && nodeFollower_.isConnected();
+    if (hasStore)
+        storeSeenAt_ = now;
+    // The store tells first; peers are asked where it does not.
+    bool needsPeers = now - storeSeenAt_ >= stateQueryDelay;
+    if (needsPeers && now - lastStateQuery_ >= stateQueryInterval) {
+        lastStateQuery_ = now;
+        peers_.queryState();
     }
     tick_.expires_after(tickInterval);
     tick_.async_wait([this](const boost::system::error_code& cancelled) {
--- a/lib/Relay/PaceHold.cpp
+++ b/lib/Relay/PaceHold.cpp
@@ -4,9 +4,11 @@
 
 namespace {
 
+// A server is slowed down while its pace is this many percent of its best of the last moments.
 constexpr std::uint32_t slowedPercent = 150;
-// Neighbours come and go within tenths of a second; what lasts longer is a slow server, and waiting does not help.
-constexpr Duration longestSlowdown = std::chrono::milliseconds(600);
+// Neighbours come and go within tenths of a second. What lasts longer, as after a cold start, is the
+// server's own pace, and waiting does not help.
+constexpr Duration memory = std::chrono::milliseconds(700);
 constexpr Duration::rep smoothing = 8;
 // Work varies around its typical time; this much of it is left when the wait ends, in percent.
 constexpr Duration::rep reservePercent = 140;
@@ -22,17 +24,23 @@
 void PaceHold::reset()
 {
     isObservable_ = true;
-    observedAt_.reset();
-    slowedSince_.reset();
+    recent_.clear();
+    last_.reset();
+}
+
+void PaceHold::forget(Instant now)
+{
+    while (!recent_.empty() && now - recent_.front().at > memory)
+        recent_.pop_front();
 }
 
 void PaceHold::observed(Instant now, std::uint32_t pacePercent)
 {
-    observedAt_ = now;
-    if (pacePercent < slowedPercent)
-        slowedSince_.reset();
-    else if (!slowedSince_)
-        slowedSince_ = now;
+    forget(now);
+    while (!recent_.empty() && recent_.back().pacePercent >= pacePercent)
+        recent_.pop_back();
+    last_ = Observation{now, pacePercent};
+    recent_.push_back(*last_);
 }
 
 void PaceHold::finished(const std::string& route, Duration service)
@@ -45,9 +53,10 @@
 {
     if (!isObservable_)
         return Pace::Usual;
-    if (!observedAt_ || now - *observedAt_ > interval_)
+    if (!last_ || now - last_->at > interval_)
         return Pace::Unknown;
-    return slowedSince_ ? Pace::Slowed : Pace::Usual;
+    bool isSlowed = last_->pacePercent * percent >= recent_.front().pacePercent * slowedPercent;
+    return isSlowed ? Pace::Slowed : Pace::Usual;
 }
 
 Instant PaceHold::holdUntil(const Work& work) const
@@ -68,8 +77,7 @@
     case Pace::Slowed:
         break;
     }
-    bool isLasting = now - *slowedSince_ > longestSlowdown;
-    if (!isLasting && now < holdUntil(work))
+    if (now < holdUntil(work))
         return StartDecision::Hold;
     return work.canGoElsewhere ? StartDecision::SendElsewhere : StartDecision::Start;
 }
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -87,18 +87,16 @@
         if (greeting->sender.domain == self_.domain)
             neighbours_.push_back(link);
         link->send(hello());
-        shareConfig(link, greeting->configVersion);
-        auto known = greeting->peers;
-        known.push_back(greeting->sender);
-        learn(known);
+        noteConfigVersion(greeting->configVersion);
+        learn({greeting->sender});
     } else if (const auto* offer = std::get_if<Offer>(&message))
         serveOffer(link, guestBoot, *offer);
     else if (const auto* cancel = std::get_if<Cancel>(&message))
         guard_.cancel({guestBoot, cancel->serial});
     else if (const auto* inquiry = std::get_if<Inquiry>(&message))
         guard_.inquire({inquiry->senderBoot, inquiry->serial}, [link, serial = inquiry->serial](const Outcome& outcome, const Wire::LoadStamp& stamp) { link->send(OfferResult{serial, outcome, stamp}); });
-    else if (const auto* query = std::get_if<ConfigQuery>(&message))
-        shareConfig(link, query->version);
+    else if (const auto* query = std::get_if<StateQuery>(&message))
+        shareState(link, query->configVersion);
     else if (std::holds_alternative<Ping>(message))
         link->send(Pong());
 }
@@ -115,19 +113,26 @@
     greeting.boot = boot_;
     greeting.configVersion = host_.configVersion();
     greeting.status = guard_.status();
-    for (const auto& [name, peer] : peers_) {
-        if (peer->link && !peer->isForgotten)
-            greeting.peers.push_back(peer->entry);
-    }
     return greeting;
 }
 
-void Peers::shareConfig(const std::shared_ptr<PeerLink>& link, std::uint64_t otherVersion)
+void Peers::shareState(const std::shared_ptr<PeerLink>& link, std::uint64_t otherVersion)
 {
+    PeerList list;
+    for (const auto& [name, peer] : peers_) {
+        if (peer->link && !peer->isForgotten)
+            list.peers.push_back(peer->entry);
+    }
+    link->send(list);
     if (host_.configVersion() > otherVersion)
         link->send(ConfigDocument{host_.configText()});
 }
 
+void Peers::noteConfigVersion(std::uint64_t version)
+{
+    newestConfigVersion_ = std::max(newestConfigVersion_, version);
+}
+
 void Peers::learn(const std::vector<NodeEntry>& entries)
 {
     for (const auto& entry : entries) {
@@ -218,6 +223,8 @@
     }
     if (const auto* pace = std::get_if<PaceUpdate>(&message))
         return host_.onPace(peer->entry.name, peer->status.address, pace->isSlowed);
+    if (const auto* list = std::get_if<PeerList>(&message))
+        return learn(list->peers);
     if (const auto* document = std::get_if<ConfigDocument>(&message))
         host_.onConfigText(document->text);
 }
@@ -236,9 +243,7 @@
     peer->isGreeted = true;
     peer->failures = 0;
     log_.line(LogClass::Notable, "peer-up", "peer={} boot={} service={} instance={}", peer->entry.name, greeting.boot, greeting.status.service, greeting.status.instance);
-    if (peer->link)
-        shareConfig(peer->link, greeting.configVersion);
-    learn(greeting.peers);
+    noteConfigVersion(greeting.configVersion);
     host_.onServersChanged();
 }
 
@@ -326,14 +331,18 @@
         guest->send(update);
 }
 
-void Peers::queryConfig()
+// Peers of the own failure domain first, then each in turn.
+void Peers::queryState()
 {
-    if (peers_.empty())
+    std::vector<PeerPointer> reachable;
+    for (const auto& [name, peer] : peers_) {
+        if (peer->isGreeted && peer->link)
+            reachable.push_back(peer);
+    }
+    if (reachable.empty())
         return;
-    auto turn = queryTurn_++ % peers_.size();
-    auto peer = std::next(peers_.begin(), static_cast<std::ptrdiff_t>(turn));
-    if (peer->second->link)
-        peer->second->link->send(ConfigQuery{host_.configVersion()});
+    std::stable_partition(reachable.begin(), reachable.end(), [this](const PeerPointer& peer) { return peer->entry.domain == self_.domain; });
+    reachable[queryTurn_++ % reachable.size()]->link->send(StateQuery{host_.configVersion()});
 }
 
 // A peer that holds offers and says nothing may be gone without a reset.
--- a/unittests/Relay/LocalServerTest.cpp
+++ b/unittests/Relay/LocalServerTest.cpp
@@ -83,4 +83,20 @@
     EXPECT_NE(server_.ready(), nullptr);
 }
 
+TEST_F(LocalServerTest, AnAdoptedServerIsReplacedByItsOwnAnnouncement)
+{
+    server_.adopt("a", 4);
+    ASSERT_NE(server_.ready(), nullptr);
+    EXPECT_TRUE(server_.announce(announcement("a", 100, 9, ServerState::Draining)));
+    EXPECT_EQ(server_.ready(), nullptr);
+}
+
+TEST_F(LocalServerTest, AnAdoptedServerThatLeavesStaysAway)
+{
+    server_.adopt("a", 4);
+    server_.leave("a", 100);
+    EXPECT_EQ(server_.ready(), nullptr);
+    EXPECT_FALSE(server_.announce(announcement("a", 100, 9)));
+}
+
 } // namespace balsamreel::Relay
--- a/unittests/Relay/PeerMessagesTest.cpp
+++ b/unittests/Relay/PeerMessagesTest.cpp
@@ -58,10 +58,9 @@
 
 RC_GTEST_PROP(PeerMessages, ACutFrameIsRefused, ())
 {
-    Hello hello;
-    hello.sender = {"node", {"10.0.0.1", 1}, "a"};
-    hello.peers.resize(3, hello.sender);
-    auto content = encodeFrame(hello).substr(frameHeaderBytes);
+    PeerList list;
+    list.peers.resize(3, {"node", {"10.0.0.1", 1}, "a"});
+    auto content = encodeFrame(list).substr(frameHeaderBytes);
     auto length = *rc::gen::inRange<std::size_t>(0, content.size());
     RC_ASSERT(!decodeFrame(std::string_view(content).substr(0, length)));
 }
