--- a/include/balsamreel/Relay/PaceHold.h
+++ b/include/balsamreel/Relay/PaceHold.h
@@ -13,7 +13,7 @@
 /// What is known of the server's pace.
 enum class Pace : std::uint8_t { Unknown, ///< not observed, or not lately
     Usual,
-    Slowed }; ///< against its own pace of the last moments
+    Slowed }; ///< against its own pace
 
 /// What to do with work that has a slot.
 enum class StartDecision : std::uint8_t { Start,
@@ -61,10 +61,10 @@
         std::uint32_t pacePercent = 0;
     };
 
-    void forget(Instant now);
-
     std::deque<Observation> recent_; ///< paces rise from front to back: the front is the least of the last moments
     std::optional<Observation> last_;
+    Instant coveredSince_; ///< observed without long gaps from then on
+    std::uint32_t ownPercent_ = 100; ///< the server's own pace, without neighbours
     std::unordered_map<std::string, Duration> typical_; ///< per route, at the usual pace
 };
 
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -18,9 +18,9 @@
 constexpr std::uint32_t gatewayTimeout = 504;
 constexpr std::uint32_t firstServerError = 500;
 // Guards refuse without cost to the server; a call still ends soon where all are full.
-constexpr unsigned maximumPlacements = 4;
-// One other server is asked where the first is slowed down; then the call runs where it is.
-constexpr unsigned maximumSlowedPlacements = 2;
+constexpr unsigned maximumPlacements = 5;
+// Some other servers are asked where the first is slowed down; then the call runs where it is.
+constexpr unsigned maximumSlowedPlacements = 4;
 constexpr Duration retryWithoutServers = std::chrono::milliseconds(300);
 constexpr Duration retryWithoutConfig = std::chrono::milliseconds(500);
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(30);
--- a/lib/Relay/PaceHold.cpp
+++ b/lib/Relay/PaceHold.cpp
@@ -1,14 +1,19 @@
 #include "balsamreel/Relay/PaceHold.h"
 
+#include <algorithm>
+
 namespace balsamreel::Relay {
 
 namespace {
 
-// A server is slowed down while its pace is this many percent of its best of the last moments.
-constexpr std::uint32_t slowedPercent = 150;
-// Neighbours come and go within tenths of a second. What lasts longer, as after a cold start, is the
-// server's own pace, and waiting does not help.
+// A server is slowed down while its pace is this many percent of its own; a cold one, at twice the usual, is not.
+constexpr std::uint32_t slowedPercent = 220;
+constexpr std::uint32_t usualPercent = 100;
+// Neighbours come and go within tenths of a second. What lasts longer, as on a failing VM, is the server's own
+// pace, and waiting does not help.
 constexpr Duration memory = std::chrono::milliseconds(700);
+// A longer time without an observation may have held another pace.
+constexpr Duration longestGap = std::chrono::milliseconds(120);
 constexpr Duration::rep smoothing = 8;
 // Work varies around its typical time; this much of it is left when the wait ends, in percent.
 constexpr Duration::rep reservePercent = 140;
@@ -26,21 +31,24 @@
     isObservable_ = true;
     recent_.clear();
     last_.reset();
+    ownPercent_ = usualPercent;
 }
 
-void PaceHold::forget(Instant now)
+void PaceHold::observed(Instant now, std::uint32_t pacePercent)
 {
+    if (!last_ || now - last_->at > longestGap) {
+        coveredSince_ = now;
+        recent_.clear();
+    }
     while (!recent_.empty() && now - recent_.front().at > memory)
         recent_.pop_front();
-}
-
-void PaceHold::observed(Instant now, std::uint32_t pacePercent)
-{
-    forget(now);
     while (!recent_.empty() && recent_.back().pacePercent >= pacePercent)
         recent_.pop_back();
     last_ = Observation{now, pacePercent};
     recent_.push_back(*last_);
+    if (now - coveredSince_ >= memory)
+        ownPercent_ = recent_.front().pacePercent;
+    ownPercent_ = std::min(ownPercent_, pacePercent);
 }
 
 void PaceHold::finished(const std::string& route, Duration service)
@@ -55,7 +63,7 @@
         return Pace::Usual;
     if (!last_ || now - last_->at > interval_)
         return Pace::Unknown;
-    bool isSlowed = last_->pacePercent * percent >= recent_.front().pacePercent * slowedPercent;
+    bool isSlowed = last_->pacePercent * usualPercent >= ownPercent_ * slowedPercent;
     return isSlowed ? Pace::Slowed : Pace::Usual;
 }
 
