--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -5,7 +5,7 @@
 #include "balsamreel/Relay/Entry.h"
 #include "balsamreel/Relay/EventLog.h"
 #include "balsamreel/Relay/Guard.h"
-#include "balsamreel/Relay/NodeRegistration.h"
+#include "balsamreel/Relay/NodeDirectory.h"
 #include "balsamreel/Relay/Peers.h"
 #include "balsamreel/Relay/StoreFollower.h"
 #include "balsamreel/Support/Metrics.h"
@@ -64,7 +64,7 @@
     ServerAnswer onLeave(const ServerLeaves&);
     bool isReady() const;
     void takeConfig(const std::string& content, std::string_view source);
-    void takeNode(const StoredObject&);
+    void takeNodes(const std::vector<StoredObject>&);
     void waitForSignals();
     void shutDown();
     void checkShutdown();
@@ -84,8 +84,7 @@
     Entry entry_;
     StoreCalls storeCalls_;
     StoreFollower configFollower_;
-    StoreFollower nodeFollower_;
-    NodeRegistration registration_;
+    NodeDirectory directory_;
     boost::asio::ip::tcp::acceptor callerAcceptor_;
     boost::asio::ip::tcp::acceptor readinessAcceptor_;
     boost::asio::ip::tcp::acceptor announcementAcceptor_;
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -42,9 +42,11 @@
 
     void listen();
 
-    /// Nodes that are named by the store; those that are not named any more are let go once they can't be reached.
+    /// Nodes that the store or another node names.
     void learn(const std::vector<NodeEntry>&);
-    void forget(const std::string& node);
+
+    /// The store names these and no others. Those that it does not name are let go if they can't be reached.
+    void forgetAllBut(const std::vector<NodeEntry>&);
 
     std::vector<PeerServer> servers() const;
     std::size_t knownCount() const { return peers_.size(); }
@@ -84,7 +86,6 @@
         std::shared_ptr<PeerLink> link;
         bool isConnecting = false;
         bool isGreeted = false;
-        bool isForgotten = false;
         std::uint64_t boot = 0;
         ServerStatus status;
         unsigned failures = 0; ///< dials in a row
--- a/include/balsamreel/Relay/StoreCalls.h
+++ b/include/balsamreel/Relay/StoreCalls.h
@@ -42,7 +42,7 @@
 
 /// Translates between the node's calls and the store's protocol. Pure functions.
 struct StoreCodec {
-    std::function<StoreCall(Collection, const std::string& after)> list;
+    std::function<StoreCall(Collection, const std::string& after, bool mayBeStale)> list;
     std::function<StoreCall(Collection, std::uint64_t revision, Duration wait)> watch;
     std::function<StoreCall(Collection, const std::string& name, const std::string& content)> create;
     std::function<StoreCall(Collection, const StoredObject&)> replace; ///< only if the revision still holds
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -17,9 +17,8 @@
 constexpr std::uint32_t notFound = 404;
 constexpr std::uint32_t serviceUnavailable = 503;
 constexpr auto tickInterval = std::chrono::milliseconds(100);
-// A change of the configuration has to be in force soon; changes of nodes may be gathered.
+// Changes that come together are told by one watch; each has to be in force soon.
 constexpr Duration configPause = std::chrono::milliseconds(50);
-constexpr Duration nodePause = std::chrono::milliseconds(500);
 constexpr Duration stateQueryInterval = std::chrono::milliseconds(500);
 constexpr Duration stateQueryDelay = std::chrono::milliseconds(250);
 // Callers are still sent here until the platform has seen that the node is not ready.
@@ -56,13 +55,7 @@
                 takeConfig(object.content, "store"); }, [this](const StoredObject& object) {
         if (object.name == codec_.configName && !object.isDeleted)
             takeConfig(object.content, "store"); }})
-    , nodeFollower_(loop, storeCalls_, codec_.store, Collection::Nodes, nodePause, boot_ + 3, log_, {[this](const std::vector<StoredObject>& objects) {
-        for (const auto& object : objects)
-            takeNode(object);
-        registration_.onListing(objects); }, [this](const StoredObject& object) {
-        takeNode(object);
-        registration_.onChange(object); }})
-    , registration_(loop, storeCalls_, codec_.store, settings_.name, codec_.writeNode({settings_.name, settings_.peerAddress, settings_.domain}), log_)
+    , directory_(loop, storeCalls_, codec_.store, settings_.name, codec_.writeNode({settings_.name, settings_.peerAddress, settings_.domain}), boot_ + 3, log_, [this](const std::vector<StoredObject>& objects) { takeNodes(objects); })
     , callerAcceptor_(loop)
     , readinessAcceptor_(loop)
     , announcementAcceptor_(loop)
@@ -94,7 +87,7 @@
     accept(metricsAcceptor_, controlHost());
     peers_.listen();
     configFollower_.start();
-    nodeFollower_.start();
+    directory_.start();
     waitForSignals();
     storeSeenAt_ = Support::monotonicNow();
     tick();
@@ -221,16 +214,19 @@
     entry_.setRoutes(std::move(routes));
 }
 
-void Node::takeNode(const StoredObject& object)
+void Node::takeNodes(const std::vector<StoredObject>& objects)
 {
-    if (object.isDeleted)
-        return peers_.forget(object.name);
-    auto entry = codec_.readNode(object.content);
-    if (!entry || entry->name != object.name) {
-        log_.line(LogClass::Notable, "node-entry-unreadable", "name={}", object.name);
-        return;
+    std::vector<NodeEntry> entries;
+    for (const auto& object : objects) {
+        auto entry = codec_.readNode(object.content);
+        if (!entry || entry->name != object.name) {
+            log_.line(LogClass::Notable, "node-entry-unreadable", "name={}", object.name);
+            continue;
+        }
+        entries.push_back(std::move(*entry));
     }
-    peers_.learn({*entry});
+    peers_.learn(entries);
+    peers_.forgetAllBut(entries);
 }
 
 void Node::waitForSignals()
@@ -256,7 +252,7 @@
     log_.line(LogClass::Notable, "stop", "open_calls={} guarded={} server_gone={}", entry_.openCount(), guard_.openCount(), isServerGone_);
     guard_.close();
     if (isServerGone_)
-        registration_.remove([] {});
+        directory_.remove();
     checkShutdown();
 }
 
@@ -287,7 +283,7 @@
 {
     auto now = Support::monotonicNow();
     peers_.tick(now);
-    bool hasStore = configFollower_.isConnected() && nodeFollower_.isConnected();
+    bool hasStore = configFollower_.isConnected() && directory_.isConnected();
     if (hasStore)
         storeSeenAt_ = now;
     // The store tells first; peers are asked where it does not.
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace balsamreel::Relay {
 
@@ -120,7 +121,7 @@
 {
     PeerList list;
     for (const auto& [name, peer] : peers_) {
-        if (peer->link && !peer->isForgotten)
+        if (peer->link)
             list.peers.push_back(peer->entry);
     }
     link->send(list);
@@ -143,7 +144,6 @@
             peer = std::make_shared<Peer>();
         bool hasMoved = peer->entry.peerAddress != entry.peerAddress;
         peer->entry = entry;
-        peer->isForgotten = false;
         if (hasMoved && peer->link) {
             peer->link->close();
             onLost(peer, "address changed");
@@ -153,14 +153,16 @@
     }
 }
 
-void Peers::forget(const std::string& node)
+// A node that has greeted but is not in the listing yet has a link, and stays.
+void Peers::forgetAllBut(const std::vector<NodeEntry>& entries)
 {
-    auto found = peers_.find(node);
-    if (found == peers_.end())
-        return;
-    found->second->isForgotten = true;
-    if (!found->second->link && !found->second->isConnecting)
-        peers_.erase(found);
+    std::set<std::string> named;
+    for (const auto& entry : entries)
+        named.insert(entry.name);
+    std::erase_if(peers_, [&](const auto& known) {
+        const auto& [name, peer] = known;
+        return !named.contains(name) && !peer->link && !peer->isConnecting && peer->pending.empty() && peer->failures > 0;
+    });
 }
 
 void Peers::dial(const PeerPointer& peer)
@@ -194,8 +196,6 @@
         auto delay = std::min(longestRedial, firstRedial * (1U << std::min(peer->failures, maximumDoublings)));
         ++peer->failures;
         peer->nextDial = Support::monotonicNow() + delay;
-        if (peer->isForgotten)
-            peers_.erase(peer->entry.name);
         return;
     }
     tuneSocket(*socket);
@@ -276,10 +276,6 @@
     host_.onServersChanged();
     for (auto& done : ended)
         done(Unknown{Reason::PeerLost}, {});
-    if (peer->isForgotten && peer->pending.empty()) {
-        peers_.erase(peer->entry.name);
-        return;
-    }
     dial(peer);
 }
 
--- a/lib/Relay/StoreFollower.cpp
+++ b/lib/Relay/StoreFollower.cpp
@@ -42,7 +42,7 @@
 {
     if (after.empty())
         listed_.clear();
-    calls_.call(codec_.list(collection_, after), callTimeout, [this](const StoreReply& reply) { onPage(reply); });
+    calls_.call(codec_.list(collection_, after, false), callTimeout, [this](const StoreReply& reply) { onPage(reply); });
 }
 
 void StoreFollower::onPage(const StoreReply& reply)
