--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -183,6 +183,7 @@
     Support::Endpoint peerAddress; ///< other nodes
     Support::Endpoint metricsAddress;
     Support::Endpoint store;
+    int logDescriptor = 1; ///< standard output
     Duration shutdownGrace = std::chrono::seconds(6);
     double retryRatio = 0.2; ///< fleet-wide repeats per request of a service
     double retrySlack = 62; ///< fleet-wide repeats of a service on top, per window
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -312,8 +312,8 @@
         probe_->close();
         observed(HttpFailure::Broke);
     });
-    probe_->exchange(requestText(request, {}), {}, false, [this, connection = probe_](const HttpResult& result) {
-        if (connection == probe_ && isProbing_)
+    probe_->exchange(requestText(request, {}), {}, false, [this, connection = probe_.get()](const HttpResult& result) {
+        if (connection == probe_.get() && isProbing_)
             observed(result);
     });
 }
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <csignal>
-#include <unistd.h>
 
 namespace balsamreel::Relay {
 
@@ -44,7 +43,7 @@
     , codec_(std::move(codec))
     , onReload_(std::move(onReload))
     , boot_(Support::randomSeed() | 1U)
-    , log_(loop, settings_.name, STDOUT_FILENO)
+    , log_(loop, settings_.name, settings_.logDescriptor)
     , guard_(loop, settings_, codec_.headers, codec_.readLoad, log_)
     , peers_(loop, settings_, boot_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { takeConfig(content, "peer"); }, [this] { entry_.updateServers(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.paceChanged({node, server}, isSlowed); }})
     , entry_(loop, settings_, codec_.headers, boot_, guard_, peers_, log_, metrics_)
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -202,8 +202,16 @@
     peer->link = std::make_shared<PeerLink>(std::move(*socket));
     peer->isGreeted = false;
     PeerLink::Handlers handlers;
-    handlers.onMessage = [this, peer](PeerMessage&& message) { onPeerMessage(peer, std::move(message)); };
-    handlers.onClosed = [this, peer](const std::string& cause) { onLost(peer, cause); };
+    // The peer owns the link, so the link does not own the peer.
+    std::weak_ptr<Peer> weak = peer;
+    handlers.onMessage = [this, weak](PeerMessage&& message) {
+        if (auto strong = weak.lock())
+            onPeerMessage(strong, std::move(message));
+    };
+    handlers.onClosed = [this, weak](const std::string& cause) {
+        if (auto strong = weak.lock())
+            onLost(strong, cause);
+    };
     peer->link->start(std::move(handlers));
     peer->link->send(hello());
     for (const auto& [serial, offer] : peer->pending)
--- a/lib/Relay/StoreCalls.cpp
+++ b/lib/Relay/StoreCalls.cpp
@@ -42,11 +42,13 @@
     request.body = call.body;
     if (!call.body.empty())
         request.headers.push_back({"Content-Type", "application/json"});
-    connection->exchange(requestText(request, {}), {}, false, [this, connection, timer, shared](HttpResult result) {
+    std::weak_ptr<HttpClientConnection> weak = connection; // it owns the callback
+    connection->exchange(requestText(request, {}), {}, false, [this, weak, timer, shared](HttpResult result) {
         timer->cancel();
+        auto connection = weak.lock();
         if (isClosed_ || !*shared)
             return;
-        if (connection->isReusable(Support::monotonicNow()))
+        if (connection && connection->isReusable(Support::monotonicNow()))
             idle_.push_back(connection);
         StoreReply reply;
         if (auto* whole = std::get_if<HttpReply>(&result))
