--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -6,6 +6,7 @@
 #include "balsamreel/Relay/HttpClientConnection.h"
 #include "balsamreel/Relay/LocalServer.h"
 #include "balsamreel/Relay/PaceHold.h"
+#include "balsamreel/Relay/Patience.h"
 #include "balsamreel/Relay/PeerMessages.h"
 #include "balsamreel/Relay/SettledOffers.h"
 
@@ -97,6 +98,7 @@
     EventLog& log_;
     LocalServer server_;
     Admission::Gate gate_;
+    Patience patience_;
     std::uint64_t nextTicket_ = 1;
     std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs_;
     std::map<OfferKey, std::uint64_t> tickets_;
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -291,7 +291,7 @@
     auto elapsed = Support::monotonicNow() - call->arrivedAt;
     bool isGood = answer.status < firstServerError;
     auto server = call->tried.empty() ? std::string("-") : call->tried.back().node;
-    log_.line(isGood ? LogClass::Routine : LogClass::Notable, "call", "id={} route={} service={} config={} status={} reason={} server={} placements={} sent={} took_us={} goal_us={}", call->request.attemptId, call->route->name, call->service, call->routes->version(), answer.status, Support::nameOf(reasonNames, reason), server, call->placements, call->sent, elapsed.count(), call->route->targetLatency.count());
+    log_.line(isGood ? LogClass::Routine : LogClass::Notable, "call", "id={} route={} service={} config={} status={} reason={} server={} priority={} placements={} sent={} took_us={} goal_us={}", call->request.attemptId, call->route->name, call->service, call->routes->version(), answer.status, Support::nameOf(reasonNames, reason), server, call->route->priority, call->placements, call->sent, elapsed.count(), call->route->targetLatency.count());
     metrics_.add(fmt::format("balsamreel_calls_total{{status=\"{}\",reason=\"{}\"}}", answer.status, Support::nameOf(reasonNames, reason)));
     metrics_.observe("balsamreel_call_seconds", static_cast<double>(elapsed.count()) / 1e6);
     call->timer.cancel();
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -202,7 +202,7 @@
     ticket.route = offer.route;
     ticket.depth = offer.isNested ? 1 : 0;
     ticket.priority = offer.priority;
-    ticket.deadline = now + Duration(offer.goalMicros > 0 ? offer.goalMicros : offer.timeoutMicros);
+    ticket.deadline = patience_.deadline(now, offer);
     auto decision = gate_.offer(now, ticket);
     if (const auto* refused = std::get_if<Admission::Refused>(&decision))
         return refuse(key, offer, {reasonOf(refused->reason), refused->expectedWait, false}, done);
