--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -1,18 +1,15 @@
 #include "balsamreel/Relay/Guard.h"
 
+#include "balsamreel/Relay/GateSettings.h"
 #include "balsamreel/Relay/HttpText.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace balsamreel::Relay {
 
 namespace {
 
-// Servers slow down when nearly all of their slots are in use; what is admitted stays below.
-constexpr double usedSlotShare = 0.8;
 constexpr std::uint32_t slotsBeforeAnnouncement = 1;
-constexpr Duration longestQueueWait = std::chrono::milliseconds(400);
 constexpr auto tickInterval = std::chrono::milliseconds(10);
 // A request that may run only once isn't sent on a connection that its server may have forgotten.
 constexpr Duration freshConnection = std::chrono::seconds(1);
@@ -24,15 +21,6 @@
 // A server that is slow to tell its pace gets its work without it.
 constexpr auto probeTimeout = std::chrono::milliseconds(15);
 
-Admission::GateOptions gateOptions(std::uint32_t announcedSlots)
-{
-    Admission::GateOptions options;
-    options.slots = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::floor(announcedSlots * usedSlotShare)));
-    options.maximumQueueWait = longestQueueWait;
-    options.maximumLimitFactor = 1;
-    return options;
-}
-
 Reason reasonOf(Admission::RefusalReason reason)
 {
     switch (reason) {
