--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -168,7 +168,8 @@
 
 void Guard::refuse(const OfferKey& key, const Offer& offer, NotRun refusal, const Done& done)
 {
-    log_.line(LogClass::Notable, "guard-refused", "id={} route={} reason={} wait_us={} left_us={}", offer.request.attemptId, offer.route, Support::nameOf(reasonNames, refusal.reason), refusal.expectedWait.count(), offer.timeoutMicros);
+    auto load = gate_.load(Support::monotonicNow());
+    log_.line(LogClass::Notable, "guard-refused", "id={} route={} reason={} wait_us={} left_us={} running={} long={} queued={} limit={}", offer.request.attemptId, offer.route, Support::nameOf(reasonNames, refusal.reason), refusal.expectedWait.count(), offer.timeoutMicros, load.running, load.runningLong, load.queued, load.limit);
     if (!offer.isIdempotent)
         settled_.add(Support::monotonicNow(), key, refusal);
     done(refusal, stamp());
