--- a/include/balsamreel/Relay/CallerConnection.h
+++ b/include/balsamreel/Relay/CallerConnection.h
@@ -42,9 +42,6 @@
     /// Ends the connection without an answer.
     void close();
 
-    bool isBusy() const { return isBusy_; }
-    bool isIdle() const { return !isBusy_ && !isWriting_ && input_.size() == 0; }
-
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -44,7 +44,6 @@
         std::uint64_t serial = 0;
         Balance::ServerId server;
         Instant startedAt;
-        Instant placedAt;
     };
     struct Call {
         std::shared_ptr<CallerConnection> caller;
--- a/include/balsamreel/Relay/HttpClientConnection.h
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -49,7 +49,6 @@
 
     /// Open, idle, and not announced by the server to end by now.
     bool isReusable(Instant now) const;
-    bool wasUsed() const { return isConnected_; }
     Instant idleSince() const { return idleSince_; }
 
 private:
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -143,8 +143,6 @@
 enum class ServerState : std::uint8_t { Ready,
     Draining };
 
-constexpr Support::NameTable<ServerState, 2> serverStateNames{{{ServerState::Ready, "ready"}, {ServerState::Draining, "draining"}}};
-
 /// What a server says of itself, regularly.
 struct Announcement {
     std::string instance; ///< id of the running server process
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -103,8 +103,6 @@
     std::string route;
     std::uint32_t priority = 0;
     bool isIdempotent = false;
-    bool isRepeat = false; ///< another server had it before
-    bool isNested = false; ///< a call of a running request
     bool canGoElsewhere = false; ///< the sender has another server for it
     std::uint32_t timeoutMicros = 0; ///< left until nobody waits any more
     std::uint32_t goalMicros = 0; ///< left until the answer loses most of its value
@@ -112,7 +110,7 @@
     Request request;
 
     template <typename Archive>
-    void serialize(Archive& archive) { archive(serial, instance, route, priority, isIdempotent, isRepeat, isNested, canGoElsewhere, timeoutMicros, goalMicros, originService, request); }
+    void serialize(Archive& archive) { archive(serial, instance, route, priority, isIdempotent, canGoElsewhere, timeoutMicros, goalMicros, originService, request); }
 };
 
 /// The end of an offer, with the load of the guard.
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -166,8 +166,6 @@
     offer.route = call.route->name;
     offer.priority = call.route->priority;
     offer.isIdempotent = call.route->isIdempotent;
-    offer.isRepeat = call.sent > 0;
-    offer.isNested = call.route->priority == 0;
     offer.canGoElsewhere = !call.mustRun && call.placements < maximumSlowedPlacements;
     offer.timeoutMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(1, (call.deadline - now).count()));
     offer.goalMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(0, (std::min(call.goal, call.deadline) - now).count()));
@@ -182,7 +180,7 @@
     auto serial = nextSerial_++;
     ++call->placements;
     call->tried.push_back(choice.server);
-    call->attempt = Attempt{serial, choice.server, now, now};
+    call->attempt = Attempt{serial, choice.server, now};
     balancer_.started(now, choice.server, call->route->name);
     auto message = offerOf(*call, serial, instance, now);
     auto done = [this, call, serial](const Outcome& outcome, const Wire::LoadStamp& stamp) { onOutcome(call, serial, outcome, stamp); };
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -189,7 +189,6 @@
     Admission::Ticket ticket;
     ticket.id = nextTicket_++;
     ticket.route = offer.route;
-    ticket.depth = offer.isNested ? 1 : 0;
     ticket.priority = offer.priority;
     ticket.deadline = patience_.deadline(now, offer);
     auto decision = gate_.offer(now, ticket);
