Give callers' requests that are sent ahead a pipeline of their own; bound servers in trouble

Cause: while a read into the caller's buffer was open, the parser consumed from the same buffer, which moved the place that the end of the read then counted from.

Change: RequestPipeline, a state machine without socket and clock: bytes in, requests out; answers in, bytes out, in the order of the requests. A close comes after all that was taken is answered, what is behind it reaches no server, and the connection lingers so that unread bytes do not reset it.

Servers in trouble, found by tests: work that must run once kept its slot for ever where the server never answered; it is given up half a second after its deadline, with its outcome unknown. Bytes without end (head, interim answers, answers to others, body, chunk extensions, trailers) are bounded; unfinished answers share an eighth of the process's memory.

--- a/include/balsamreel/Relay/CallerConnection.h
+++ b/include/balsamreel/Relay/CallerConnection.h
@@ -1,33 +1,37 @@
-// A caller's connection: reads requests strictly, one at a time, and notices when the caller leaves.
+// A caller's connection: carries the bytes of its request pipeline, keeps the time limits, and notices when the caller leaves.
 #pragma once
 
 #include "balsamreel/Relay/Model.h"
 #include "balsamreel/Relay/PeerLink.h"
+#include "balsamreel/Relay/RequestPipeline.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace balsamreel::Relay {
 
-/// A request as it came, before it is classified.
-struct IncomingRequest {
-    Request request;
-    boost::beast::http::fields fields; ///< all headers
+class CallerConnection;
+
+/// One request of a caller, to be answered once.
+struct CallerRequest {
+    std::shared_ptr<CallerConnection> connection;
+    RequestNumber number = 0;
+
+    auto operator<=>(const CallerRequest&) const = default;
 };
 
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
     /// What the connection asks of its owner.
     struct Host {
-        std::function<void(const std::shared_ptr<CallerConnection>&, IncomingRequest&&)> onRequest; ///< answered by answer()
-        std::function<void(const std::shared_ptr<CallerConnection>&)> onCallerLeft; ///< while a request is open
+        std::function<void(const CallerRequest&, IncomingRequest&&)> onRequest; ///< answered by answer()
+        std::function<void(const std::shared_ptr<CallerConnection>&)> onCallerLeft; ///< while requests are open
         std::function<void(const std::shared_ptr<CallerConnection>&)> onClosed;
+        std::function<bool(const IncomingRequest&)> mayOverlap; ///< with other requests of its connection
         std::function<CallerLimits()> limits;
         std::function<bool()> isShuttingDown; ///< answers then end their connections
     };
@@ -36,8 +40,8 @@
 
     void start();
 
-    /// The answer to the open request.
-    void answer(const ServerAnswer&);
+    /// The answer to an open request.
+    void answer(RequestNumber, ServerAnswer);
 
     /// Ends the connection without an answer.
     void close();
@@ -46,34 +50,29 @@
     bool isIdle() const;
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    static constexpr std::size_t readBytes = 8 * 1024;
 
-    void restartParser();
+    void advance();
     void read();
     void onRead(const boost::system::error_code&, std::size_t);
-    void parse();
-    bool parseSome();
-    void onHeader();
-    void take();
-    void reject(std::uint32_t status);
-    void write(std::string text, bool isLast);
+    void write();
+    void linger();
     void armTimer(Duration);
-    std::uint32_t headerFault() const; ///< status to reject with; 0: none
+    void armReadTimer();
 
     Socket socket_;
     Host host_;
+    RequestPipeline pipeline_;
     boost::asio::steady_timer timer_;
-    boost::beast::flat_buffer input_;
-    std::optional<Parser> parser_;
-    std::string output_;
-    bool isBusy_ = false;
+    std::array<char, readBytes> input_{};
+    std::string output_; ///< being written
+    ReadPhase phase_ = ReadPhase::Idle; ///< for which the timer was set
+    std::size_t lingeredBytes_ = 0;
+    bool isAdvancing_ = false;
     bool isReading_ = false;
     bool isWriting_ = false;
+    bool isLingering_ = false;
     bool isClosed_ = false;
-    bool isLast_ = false; ///< the open request's answer ends the connection
-    bool isHead_ = false;
-    bool hasSeenHeader_ = false;
-    bool hasCallerLeft_ = false;
 };
 
 } // namespace balsamreel::Relay
--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -13,10 +13,10 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace balsamreel::Relay {
@@ -34,9 +34,12 @@
     void paceChanged(const Balance::ServerId& server, bool isSlowed) { balancer_.paceChanged(Support::monotonicNow(), server, isSlowed); }
 
     /// A node that is about to end refuses what could outlast it.
-    void handle(const std::shared_ptr<CallerConnection>&, IncomingRequest&&, bool isEnding);
+    void handle(const CallerRequest&, IncomingRequest&&, bool isEnding);
     void callerLeft(const std::shared_ptr<CallerConnection>&);
 
+    /// Whether the request may be worked on beside others of its caller.
+    bool mayOverlap(const IncomingRequest&) const;
+
     /// Ends calls whose time is up though their timers did not count it: the VM was suspended.
     void endOverdue(Instant now);
 
@@ -52,7 +55,7 @@
         Instant startedAt;
     };
     struct Call {
-        std::shared_ptr<CallerConnection> caller;
+        CallerRequest caller; ///< without a connection once it is answered or has left
         std::shared_ptr<RouteTable> routes; ///< keeps the route alive
         const Route* route = nullptr;
         std::string service;
@@ -76,7 +79,7 @@
     };
     using CallPointer = std::shared_ptr<Call>;
 
-    void refuseUnrouted(const std::shared_ptr<CallerConnection>&, const Request&, Reason, std::uint32_t status);
+    void refuseUnrouted(const CallerRequest&, const Request&, Reason, std::uint32_t status);
     void place(const CallPointer&, NotRun ifNone);
     void offer(const CallPointer&, const Balance::Choice&, const std::string& instance);
     void onOutcome(const CallPointer&, std::uint64_t serial, const Outcome&, const Wire::LoadStamp&);
@@ -106,7 +109,7 @@
     RetryAllowance allowance_;
     Support::Random random_;
     std::uint64_t nextSerial_ = 1;
-    std::unordered_map<CallerConnection*, CallPointer> calls_;
+    std::map<CallerRequest, CallPointer> calls_;
     std::map<Balance::ServerId, std::string> instances_;
 };
 
--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -48,6 +48,9 @@
     void recall(const ServerNotes&);
     const ServerNotes& notes() const { return notes_; }
 
+    /// Gives up work that its server has not answered though its time is over.
+    void tick(Instant now);
+
     /// The node's settings have changed.
     void applySettings();
 
@@ -132,6 +135,7 @@
     bool isSlowed_ = false;
     boost::asio::steady_timer adoptTimer_;
     std::shared_ptr<HttpClientConnection> adoption_; ///< asks an unannounced server for its id
+    std::shared_ptr<AnswerMemory> answerMemory_;
     std::vector<std::shared_ptr<HttpClientConnection>> idle_; ///< the last used comes last
     boost::asio::steady_timer tick_;
     bool isTickScheduled_ = false;
--- a/include/balsamreel/Relay/HttpClientConnection.h
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -35,11 +35,21 @@
     std::string value;
 };
 
+/// Bounds what unfinished answers on several connections hold together, in bytes.
+struct AnswerMemory {
+    std::size_t limit = 0;
+    std::size_t held = 0;
+};
+
 class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection> {
 public:
     using Done = std::function<void(HttpResult)>;
 
-    HttpClientConnection(Loop&, Support::Endpoint);
+    /// Without a memory of its own, only each answer by itself is bounded.
+    HttpClientConnection(Loop&, Support::Endpoint, std::shared_ptr<AnswerMemory> = nullptr);
+    ~HttpClientConnection() { hold(0); }
+    HttpClientConnection(const HttpClientConnection&) = delete;
+    HttpClientConnection& operator=(const HttpClientConnection&) = delete;
 
     /// Sends the bytes of one request, after connecting if need be. The callback comes once, unless close() comes first.
     void exchange(std::string text, AnswerMark, bool isHead, Done);
@@ -60,6 +70,9 @@
     void parse();
     void parseEnd();
     void restartParser();
+    bool hold(std::size_t bytes);
+    bool isWithinBounds(bool needsMore);
+    bool skipReply();
     bool takeReply();
     void finish(HttpResult);
     void noteKeepAlive(const boost::beast::http::fields&);
@@ -69,6 +82,9 @@
     boost::beast::flat_buffer input_;
     std::optional<Parser> parser_;
     std::string output_;
+    std::shared_ptr<AnswerMemory> memory_;
+    std::size_t held_ = 0; ///< part of this connection in memory_
+    unsigned skipped_ = 0; ///< messages that were not the answer, since the request was sent
     AnswerMark mark_;
     Done done_;
     bool isHead_ = false;
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -176,6 +176,7 @@
     Support::Endpoint metricsAddress;
     Support::Endpoint store;
     std::uint32_t maximumDescriptors = 1024; ///< files and sockets that the process may have open
+    std::uint64_t maximumMemory = 256 * 1024 * 1024; ///< of the process, in bytes
     int logDescriptor = 1; ///< standard output
     Duration shutdownGrace = std::chrono::seconds(6);
     double retryRatio = 0.2; ///< fleet-wide repeats per request of a service
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -64,7 +64,7 @@
     void accept(boost::asio::ip::tcp::acceptor&, const CallerConnection::Host&);
     CallerConnection::Host callerHost();
     CallerConnection::Host controlHost();
-    void onControl(const std::shared_ptr<CallerConnection>&, IncomingRequest&&);
+    void onControl(const CallerRequest&, IncomingRequest&&);
     ServerAnswer answerControl(const Request&);
     ServerAnswer onAnnouncement(const Announcement&);
     ServerAnswer onLeave(const ServerLeaves&);
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -84,7 +84,7 @@
     allowance_.setNodeCount(peers_.knownCount() + 1);
 }
 
-void Entry::refuseUnrouted(const std::shared_ptr<CallerConnection>& caller, const Request& request, Reason reason, std::uint32_t status)
+void Entry::refuseUnrouted(const CallerRequest& caller, const Request& request, Reason reason, std::uint32_t status)
 {
     log_.line(LogClass::Notable, "call-unrouted", "id={} host={} target={} reason={} status={} config={}", request.attemptId, request.host, request.target, Support::nameOf(reasonNames, reason), status, routes_ ? routes_->version() : 0);
     metrics_.add(fmt::format("balsamreel_unrouted_total{{reason=\"{}\"}}", Support::nameOf(reasonNames, reason)));
@@ -92,10 +92,17 @@
     answer.status = status;
     if (status == serviceUnavailable)
         answer.headers.push_back({"Retry-After", secondsText(retryWithoutConfig)});
-    caller->answer(answer);
+    caller.connection->answer(caller.number, std::move(answer));
 }
 
-void Entry::handle(const std::shared_ptr<CallerConnection>& caller, IncomingRequest&& incoming, bool isEnding)
+// What no route allows is refused at once.
+bool Entry::mayOverlap(const IncomingRequest& incoming) const
+{
+    const auto* route = routes_ ? routes_->match(incoming.request.host, incoming.request.target) : nullptr;
+    return !route || route->isIdempotent;
+}
+
+void Entry::handle(const CallerRequest& caller, IncomingRequest&& incoming, bool isEnding)
 {
     auto& request = incoming.request;
     auto id = incoming.fields[boost::beast::string_view(names_.attemptId.data(), names_.attemptId.size())];
@@ -120,7 +127,7 @@
     call->deadline = now + std::min(patience, route->timeout);
     call->goal = now + route->targetLatency;
     call->request = std::move(request);
-    calls_[caller.get()] = call;
+    calls_[caller] = call;
     allowance_.request(now, call->service);
     call->timer.expires_after(call->deadline - now);
     call->timer.async_wait([this, call](const boost::system::error_code& cancelled) {
@@ -296,9 +303,9 @@
     metrics_.add(fmt::format("balsamreel_calls_total{{status=\"{}\",reason=\"{}\"}}", answer.status, Support::nameOf(reasonNames, reason)));
     metrics_.observe("balsamreel_call_seconds", static_cast<double>(elapsed.count()) / 1e6);
     call->timer.cancel();
-    calls_.erase(call->caller.get());
+    calls_.erase(call->caller);
     auto caller = std::move(call->caller);
-    caller->answer(answer);
+    caller.connection->answer(caller.number, answer);
 }
 
 void Entry::cancelAttempt(const CallPointer& call)
@@ -321,7 +328,7 @@
 
 void Entry::onDeadline(const CallPointer& call)
 {
-    if (!call->caller)
+    if (!call->caller.connection)
         return;
     cancelAttempt(call);
     fail(call, Reason::TimedOut, gatewayTimeout);
@@ -343,17 +350,18 @@
     allowance_.setOptions({settings_.retryRatio, settings_.retrySlack, settings_.retryWindow});
 }
 
-void Entry::callerLeft(const std::shared_ptr<CallerConnection>& caller)
+void Entry::callerLeft(const std::shared_ptr<CallerConnection>& connection)
 {
-    auto found = calls_.find(caller.get());
-    if (found == calls_.end())
-        return;
-    auto call = found->second;
-    calls_.erase(found);
-    call->timer.cancel();
-    cancelAttempt(call);
-    call->caller.reset();
-    log_.line(LogClass::Routine, "caller-left", "id={} route={} after_us={}", call->request.attemptId, call->route->name, (Support::monotonicNow() - call->arrivedAt).count());
+    std::vector<CallPointer> left;
+    for (auto found = calls_.lower_bound({connection, 0}); found != calls_.end() && found->first.connection == connection; ++found)
+        left.push_back(found->second);
+    for (const auto& call : left) {
+        calls_.erase(call->caller);
+        call->caller = {};
+        call->timer.cancel();
+        cancelAttempt(call);
+        log_.line(LogClass::Routine, "caller-left", "id={} route={} after_us={}", call->request.attemptId, call->route->name, (Support::monotonicNow() - call->arrivedAt).count());
+    }
 }
 
 } // namespace balsamreel::Relay
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -13,6 +13,10 @@
 constexpr auto tickInterval = std::chrono::milliseconds(10);
 // A request that may run only once isn't sent on a connection that its server may have forgotten.
 constexpr Duration freshConnection = std::chrono::seconds(1);
+// A server stops work at the deadline that it is given; one that says nothing for this long after it never will.
+constexpr Duration silenceAfterDeadline = std::chrono::milliseconds(500);
+// What answers that are not whole yet may take of the node's memory; a copy is made when they are handed on.
+constexpr std::uint64_t answerMemoryPart = 8;
 constexpr Duration shedWait = std::chrono::milliseconds(150);
 constexpr std::uint32_t misdirected = 421;
 constexpr std::uint32_t ok = 200;
@@ -63,6 +67,7 @@
     , hold_(observationInterval(settings))
     , probeTimer_(loop)
     , adoptTimer_(loop)
+    , answerMemory_(std::make_shared<AnswerMemory>(AnswerMemory{settings.maximumMemory / answerMemoryPart}))
     , tick_(loop)
 {
 }
@@ -154,7 +159,7 @@
 {
     if (server_.current() || server_.hasHeard() || isClosed_)
         return;
-    adoption_ = std::make_shared<HttpClientConnection>(loop_, settings_.server);
+    adoption_ = std::make_shared<HttpClientConnection>(loop_, settings_.server, answerMemory_);
     Request request;
     request.method = "GET";
     request.target = healthPath_;
@@ -269,7 +274,7 @@
         idle_.pop_back();
         return connection;
     }
-    return std::make_shared<HttpClientConnection>(loop_, settings_.server);
+    return std::make_shared<HttpClientConnection>(loop_, settings_.server, answerMemory_);
 }
 
 std::vector<Header> Guard::addedHeaders(const Job& job, Instant now) const
@@ -329,7 +334,7 @@
     lastProbe_ = now;
     isProbing_ = true;
     if (!probe_ || !probe_->isReusable(now))
-        probe_ = std::make_shared<HttpClientConnection>(loop_, settings_.server);
+        probe_ = std::make_shared<HttpClientConnection>(loop_, settings_.server, answerMemory_);
     Request request;
     request.method = "GET";
     request.target = healthPath_;
@@ -539,6 +544,23 @@
     done(refusal, stamp());
 }
 
+// Some servers never answer what they can't queue. Their slots are free, but what they were sent may have run.
+void Guard::tick(Instant now)
+{
+    std::vector<std::uint64_t> silent;
+    for (const auto& [ticket, job] : jobs_) {
+        if (job->connection && now >= job->deadline + silenceAfterDeadline)
+            silent.push_back(ticket);
+    }
+    for (auto ticket : silent) {
+        auto found = jobs_.find(ticket);
+        if (found == jobs_.end())
+            continue;
+        found->second->connection->close();
+        conclude(ticket, Unknown{Reason::TimedOut}, false);
+    }
+}
+
 void Guard::scheduleTick()
 {
     if (isTickScheduled_)
--- a/lib/Relay/HttpClientConnection.cpp
+++ b/lib/Relay/HttpClientConnection.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t readBytes = 16 * 1024;
 constexpr std::uint64_t maximumBodyBytes = 64U * 1024 * 1024;
 constexpr std::uint32_t maximumHeaderBytes = 64 * 1024;
+// Of a line that belongs to the framing of a chunked body, and of the fields behind it.
+constexpr std::size_t maximumFramingBytes = 64 * 1024;
+// Interim answers and answers to earlier requests in front of the one that is waited for.
+constexpr unsigned maximumSkippedReplies = 16;
 // Used where the server does not say how long it keeps an idle connection.
 constexpr Duration assumedIdleLimit = std::chrono::seconds(4);
 // The server may end a connection while a request is on its way; it is left alone for this long before.
@@ -25,9 +29,10 @@
 
 } // namespace
 
-HttpClientConnection::HttpClientConnection(Loop& loop, Support::Endpoint server)
+HttpClientConnection::HttpClientConnection(Loop& loop, Support::Endpoint server, std::shared_ptr<AnswerMemory> memory)
     : socket_(loop)
     , server_(std::move(server))
+    , memory_(std::move(memory))
     , idleLimit_(assumedIdleLimit)
 {
 }
@@ -44,6 +49,7 @@
     isHead_ = isHead;
     done_ = std::move(done);
     isWritten_ = false;
+    skipped_ = 0;
     restartParser();
     if (isConnected_)
         return write();
@@ -120,10 +126,11 @@
         boost::system::error_code error;
         auto used = parser_->put(input_.data(), error);
         input_.consume(used);
-        if (error == http::error::need_more)
-            break;
-        if (error)
+        bool needsMore = error == http::error::need_more;
+        if ((error && !needsMore) || !isWithinBounds(needsMore))
             return finish(HttpFailure::Malformed);
+        if (needsMore)
+            break;
         if (!parser_->is_done())
             continue;
         if (takeReply())
@@ -133,6 +140,24 @@
         read();
 }
 
+// A server in trouble may send bytes without end.
+bool HttpClientConnection::isWithinBounds(bool needsMore)
+{
+    if (needsMore && input_.size() > maximumFramingBytes)
+        return false;
+    return hold(input_.size() + parser_->get().body().size());
+}
+
+// False if all unfinished answers together hold too much.
+bool HttpClientConnection::hold(std::size_t bytes)
+{
+    if (!memory_)
+        return true;
+    memory_->held = memory_->held - held_ + bytes;
+    held_ = bytes;
+    return memory_->held <= memory_->limit;
+}
+
 void HttpClientConnection::parseEnd()
 {
     isLast_ = true;
@@ -145,22 +170,29 @@
         finish(HttpFailure::Broke);
 }
 
+// False if the next message has to be read.
+bool HttpClientConnection::skipReply()
+{
+    if (++skipped_ > maximumSkippedReplies) {
+        finish(HttpFailure::Malformed);
+        return true;
+    }
+    restartParser();
+    return false;
+}
+
 // False if the message read is not the answer and the next one has to be read.
 bool HttpClientConnection::takeReply()
 {
     auto& message = parser_->get();
     auto status = message.result_int();
-    if (status < firstFinalStatus) {
-        restartParser();
-        return false;
-    }
+    if (status < firstFinalStatus)
+        return skipReply();
     if (!mark_.header.empty()) {
         auto value = message[boost::beast::string_view(mark_.header.data(), mark_.header.size())];
         bool isOther = !value.empty() && std::string_view(value.data(), value.size()) != mark_.value;
-        if (isOther) {
-            restartParser();
-            return false;
-        }
+        if (isOther)
+            return skipReply();
     }
     noteKeepAlive(message.base());
     if (!message.keep_alive() || parser_->need_eof() || input_.size() > 0 || !isWritten_)
@@ -188,6 +220,7 @@
 {
     auto done = std::move(done_);
     done_ = nullptr;
+    hold(0);
     idleSince_ = Support::monotonicNow();
     bool isFailed = std::holds_alternative<HttpFailure>(result);
     if (isFailed || isLast_)
@@ -203,6 +236,7 @@
     if (isClosed_)
         return;
     isClosed_ = true;
+    hold(0);
     done_ = nullptr;
     boost::system::error_code ignored; // the connection may have ended already
     socket_.close(ignored);
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -154,12 +154,13 @@
 CallerConnection::Host Node::callerHost()
 {
     CallerConnection::Host host;
-    host.onRequest = [this](const auto& caller, IncomingRequest&& incoming) {
+    host.onRequest = [this](const CallerRequest& caller, IncomingRequest&& incoming) {
         bool isTooLate = isShuttingDown_ && Support::monotonicNow() - shutdownSince_ > shutdownIntake;
         entry_.handle(caller, std::move(incoming), isTooLate);
     };
     host.onCallerLeft = [this](const auto& caller) { entry_.callerLeft(caller); };
     host.onClosed = [this](const auto& caller) { callers_.erase(caller); };
+    host.mayOverlap = [this](const IncomingRequest& incoming) { return entry_.mayOverlap(incoming); };
     host.limits = [this] { return limits_; };
     host.isShuttingDown = [this] { return isShuttingDown_; };
     return host;
@@ -168,21 +169,22 @@
 CallerConnection::Host Node::controlHost()
 {
     CallerConnection::Host host = callerHost();
-    host.onRequest = [this](const auto& caller, IncomingRequest&& incoming) { onControl(caller, std::move(incoming)); };
+    host.onRequest = [this](const CallerRequest& caller, IncomingRequest&& incoming) { onControl(caller, std::move(incoming)); };
     host.onCallerLeft = [](const auto&) {};
+    host.mayOverlap = [](const IncomingRequest&) { return false; };
     host.limits = [] { return CallerLimits(); };
     return host;
 }
 
-void Node::onControl(const std::shared_ptr<CallerConnection>& caller, IncomingRequest&& incoming)
+void Node::onControl(const CallerRequest& caller, IncomingRequest&& incoming)
 {
     if (incoming.request.target == metricsPath) {
         auto answer = plainAnswer(ok);
         answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
         answer.body = metricsText();
-        return caller->answer(answer);
+        return caller.connection->answer(caller.number, std::move(answer));
     }
-    caller->answer(answerControl(incoming.request));
+    caller.connection->answer(caller.number, answerControl(incoming.request));
 }
 
 ServerAnswer Node::answerControl(const Request& request)
@@ -331,6 +333,7 @@
     noteSuspension(now);
     followSettings(now);
     peers_.tick(now);
+    guard_.tick(now);
     bool hasStore = configFollower_.isConnected() && directory_.isConnected();
     if (hasStore)
         storeSeenAt_ = now;
--- /dev/null
+++ b/unittests/Relay/RequestPipelineTest.cpp
@@ -0,0 +1,272 @@
+#include "balsamreel/Relay/RequestPipeline.h"
+
+#include "balsamreel/Relay/HttpText.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace balsamreel::Relay {
+
+namespace {
+
+CallerLimits limits()
+{
+    CallerLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 5000;
+    return limits;
+}
+
+bool isView(const IncomingRequest& incoming)
+{
+    return incoming.request.target.starts_with("/view/");
+}
+
+RequestPipeline pipeline()
+{
+    return RequestPipeline({limits, isView});
+}
+
+std::string get(const std::string& target, const std::string& more = {})
+{
+    return fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n{}\r\n", target, more);
+}
+
+std::string post(const std::string& target, const std::string& body)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\nContent-Length: {}\r\n\r\n{}", target, body.size(), body);
+}
+
+std::string chunked(const std::string& target, const std::string& body)
+{
+    auto half = body.size() / 2;
+    auto chunk = [](const std::string& part) { return part.empty() ? std::string() : fmt::format("{:x};e=1\r\n{}\r\n", part.size(), part); };
+    return fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n{}{}0\r\n\r\n", target, chunk(body.substr(0, half)), chunk(body.substr(half)));
+}
+
+std::vector<std::string> targetsTaken(RequestPipeline& requests)
+{
+    std::vector<std::string> targets;
+    while (auto taken = requests.take())
+        targets.push_back(taken->incoming.request.target);
+    return targets;
+}
+
+/// One request as the oracle knows it: what was sent, and what has to come back.
+struct Sent {
+    std::string bytes;
+    std::string target;
+    std::string body;
+
+    ServerAnswer answer() const { return {200, {}, "answer to " + target + body}; }
+};
+
+Sent sentOf(std::size_t index, unsigned form, unsigned size)
+{
+    auto target = fmt::format("/{}/{}", form % 4 == 3 ? "book" : "view", index);
+    std::string body(size, static_cast<char>('a' + index % 26));
+    if (form % 4 == 0)
+        return {get(target), target, {}};
+    return {form % 4 == 1 ? chunked(target, body) : post(target, body), target, body};
+}
+
+/// Drives a pipeline over random splits and orders, and checks it against the naive order: one request after the other.
+struct Run {
+    RequestPipeline requests = pipeline();
+    std::vector<Sent> sent;
+    std::string unread;
+    std::string written;
+    std::map<RequestNumber, std::size_t> open; ///< index in sent
+    std::size_t taken = 0;
+
+    void deliver(std::size_t size)
+    {
+        size = requests.wantsInput() ? std::min(size, unread.size()) : 0;
+        requests.receive(std::string_view(unread).substr(0, size));
+        unread.erase(0, size);
+    }
+
+    void take()
+    {
+        while (auto next = requests.take()) {
+            RC_ASSERT(taken < sent.size());
+            const auto& expected = sent[taken];
+            RC_ASSERT(next->incoming.request.target == expected.target);
+            RC_ASSERT(next->incoming.request.body == expected.body);
+            bool isView = expected.target.starts_with("/view/");
+            for (const auto& [number, index] : open)
+                RC_ASSERT(isView && sent[index].target.starts_with("/view/"));
+            open[next->number] = taken++;
+        }
+    }
+
+    void answerOne(std::size_t choice)
+    {
+        if (open.empty())
+            return;
+        auto entry = std::next(open.begin(), static_cast<std::ptrdiff_t>(choice % open.size()));
+        requests.answer(entry->first, sent[entry->second].answer(), false);
+        open.erase(entry);
+    }
+
+    void step(unsigned action, std::size_t figure)
+    {
+        if (action % 4 == 0)
+            deliver(figure);
+        else if (action % 4 == 1)
+            take();
+        else if (action % 4 == 2)
+            answerOne(figure);
+        else
+            written += requests.takeOutput();
+    }
+
+    bool isDone() const { return taken == sent.size() && open.empty() && unread.empty(); }
+};
+
+} // namespace
+
+RC_GTEST_PROP(RequestPipelineTest, AnswersEachRequestInItsTurn, ())
+{
+    Run run;
+    auto count = *rc::gen::inRange<std::size_t>(1, 40);
+    std::string expected;
+    for (std::size_t index = 0; index < count; ++index) {
+        auto form = *rc::gen::inRange(0U, 8U);
+        auto size = *rc::gen::inRange(0U, 3000U);
+        run.sent.push_back(sentOf(index, form, size));
+        run.unread += run.sent.back().bytes;
+        expected += answerText(run.sent.back().answer(), false, false);
+    }
+    auto actions = *rc::gen::container<std::vector<std::pair<unsigned, std::size_t>>>(rc::gen::pair(rc::gen::inRange(0U, 4U), rc::gen::inRange<std::size_t>(1, 4000)));
+    for (const auto& [action, figure] : actions)
+        run.step(action, figure);
+    for (std::size_t round = 0; !run.isDone(); ++round) {
+        RC_ASSERT(round < 100'000U);
+        run.step(static_cast<unsigned>(round), 1 + round % 97);
+    }
+    run.written += run.requests.takeOutput();
+    RC_ASSERT(run.written == expected);
+    RC_ASSERT(!run.requests.hasOpen());
+    RC_ASSERT(run.requests.phase() == ReadPhase::Idle);
+}
+
+TEST(RequestPipelineTest, HandsOutSideBySideOnlyWhatMayOverlap)
+{
+    auto requests = pipeline();
+    requests.receive(get("/view/1") + get("/view/2") + get("/book/3") + get("/view/4"));
+    EXPECT_EQ(targetsTaken(requests), (std::vector<std::string>{"/view/1", "/view/2"}));
+    requests.answer(1, {200, {}, "one"}, false);
+    EXPECT_TRUE(targetsTaken(requests).empty()) << "the second is still open";
+    requests.answer(2, {200, {}, "two"}, false);
+    EXPECT_EQ(targetsTaken(requests), std::vector<std::string>{"/book/3"}) << "nothing beside work that must run once";
+    requests.answer(3, {200, {}, "three"}, false);
+    EXPECT_EQ(targetsTaken(requests), std::vector<std::string>{"/view/4"});
+}
+
+TEST(RequestPipelineTest, HandsOutNothingBehindTheRequestThatEndsTheConnection)
+{
+    auto requests = pipeline();
+    requests.receive(get("/view/1") + get("/view/2", "Connection: close\r\n") + get("/view/3"));
+    EXPECT_EQ(targetsTaken(requests), (std::vector<std::string>{"/view/1", "/view/2"}));
+    requests.answer(2, {200, {}, "two"}, false);
+    EXPECT_TRUE(requests.takeOutput().empty()) << "the first comes first";
+    EXPECT_FALSE(requests.hasEnded());
+    requests.answer(1, {200, {}, "one"}, false);
+    EXPECT_TRUE(requests.hasEnded());
+    EXPECT_TRUE(targetsTaken(requests).empty());
+    auto output = requests.takeOutput();
+    EXPECT_LT(output.find("one"), output.find("Connection: close"));
+    EXPECT_LT(output.find("Connection: close"), output.find("two"));
+}
+
+TEST(RequestPipelineTest, AShutdownAnswersAllThatItHasTakenAndReadsNoMore)
+{
+    auto requests = pipeline();
+    requests.receive(get("/view/1") + get("/view/2"));
+    EXPECT_EQ(targetsTaken(requests).size(), 2U);
+    requests.answer(1, {200, {}, "one"}, true);
+    EXPECT_EQ(requests.takeOutput().find("Connection: close"), std::string::npos) << "the second would be cut";
+    requests.receive(get("/view/3"));
+    EXPECT_TRUE(targetsTaken(requests).empty());
+    requests.answer(2, {200, {}, "two"}, true);
+    EXPECT_NE(requests.takeOutput().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(requests.hasEnded());
+}
+
+TEST(RequestPipelineTest, ARejectedRequestWaitsForTheAnswersBeforeIt)
+{
+    auto requests = pipeline();
+    requests.receive(get("/view/1") + "GET /view/2 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n" + get("/view/3"));
+    EXPECT_EQ(targetsTaken(requests), std::vector<std::string>{"/view/1"});
+    EXPECT_TRUE(requests.takeOutput().empty());
+    requests.answer(1, {200, {}, "one"}, false);
+    auto output = requests.takeOutput();
+    EXPECT_LT(output.find("one"), output.find("HTTP/1.1 400"));
+    EXPECT_TRUE(requests.hasEnded());
+    EXPECT_TRUE(targetsTaken(requests).empty());
+}
+
+TEST(RequestPipelineTest, TellsACallerToGoOnOnlyInItsTurn)
+{
+    auto requests = pipeline();
+    requests.receive(get("/view/1") + "POST /view/2 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    EXPECT_EQ(targetsTaken(requests), std::vector<std::string>{"/view/1"});
+    requests.receive("");
+    EXPECT_TRUE(requests.takeOutput().empty());
+    requests.answer(1, {200, {}, "one"}, false);
+    targetsTaken(requests);
+    auto output = requests.takeOutput();
+    EXPECT_LT(output.find("one"), output.find("HTTP/1.1 100 Continue"));
+    EXPECT_EQ(requests.phase(), ReadPhase::Body);
+    requests.receive("ok");
+    EXPECT_EQ(targetsTaken(requests), std::vector<std::string>{"/view/2"});
+}
+
+TEST(RequestPipelineTest, KeepsWhatACallerSendsAheadWithinABound)
+{
+    constexpr std::size_t bound = 256 * 1024;
+    auto requests = pipeline();
+    std::size_t kept = 0;
+    while (requests.wantsInput() && kept < bound) {
+        auto bytes = post("/book/1", std::string(2000, 'x'));
+        requests.receive(bytes);
+        kept += bytes.size();
+        requests.take();
+    }
+    EXPECT_FALSE(requests.wantsInput());
+    EXPECT_LT(kept, bound);
+}
+
+TEST(RequestPipelineTest, BytesWithoutEndAreRejectedWithinABound)
+{
+    const std::string chunkedHead = "POST /view/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> endless{
+        {"GET /view/", "x"},
+        {"GET /view/1 HTTP/1.1\r\nHost: a\r\n", "X-More: 1\r\n"},
+        {chunkedHead + "5;", "extension"},
+        {chunkedHead + "0\r\n", "X-Trailer: 1\r\n"},
+        {chunkedHead, "1;e=eeeeeeeeeeeeeeee\r\nx\r\n"},
+        {"POST /view/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\n", "body"},
+    };
+    for (const auto& [start, more] : endless) {
+        auto requests = pipeline();
+        requests.receive(start);
+        std::size_t sent = 0;
+        constexpr std::size_t bound = 1024 * 1024;
+        while (!requests.hasEnded() && sent < bound) {
+            requests.receive(more);
+            sent += more.size();
+        }
+        EXPECT_TRUE(requests.hasEnded()) << start;
+        EXPECT_FALSE(requests.take()) << start;
+        EXPECT_EQ(requests.takeOutput().substr(0, 10), "HTTP/1.1 4") << start;
+    }
+}
+
+} // namespace balsamreel::Relay
