Let a few nodes watch the store for all, and take changed servers in when a call needs them

A server's pace went to all nodes of its domain, also to those that send it a call every few seconds.

Change: WatchDuty chooses 12 nodes of the fleet by rendezvous hashing; a version spreads from them over 16 random links a node, and is compared with one node each second. NodeDirectory lists with what may be stale, writes an entry only where there is none, and reads its own for the notes of an earlier process; an unannounced server waits for these notes, 0.6 s at most. The table of servers is built when a call is placed. Messages for many are encoded once.

--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -28,10 +28,10 @@
     void setRoutes(std::shared_ptr<RouteTable> routes) { routes_ = std::move(routes); }
 
     /// The servers that may get work have changed.
-    void updateServers();
+    void serversChanged() { areServersCurrent_ = false; }
 
     /// A server in this failure domain is slowed down by neighbours, or no longer.
-    void paceChanged(const Balance::ServerId& server, bool isSlowed) { balancer_.paceChanged(Support::monotonicNow(), server, isSlowed); }
+    void paceChanged(const Balance::ServerId& server, bool isSlowed);
 
     /// A node that is about to end refuses what could outlast it.
     void handle(const CallerRequest&, IncomingRequest&&, bool isEnding);
@@ -79,6 +79,7 @@
     };
     using CallPointer = std::shared_ptr<Call>;
 
+    void updateServers();
     void refuseUnrouted(const CallerRequest&, const Request&, Reason, std::uint32_t status);
     void place(const CallPointer&, NotRun ifNone);
     void offer(const CallPointer&, const Balance::Choice&, const std::string& instance);
@@ -111,6 +112,7 @@
     std::uint64_t nextSerial_ = 1;
     std::map<CallerRequest, CallPointer> calls_;
     std::map<Balance::ServerId, std::string> instances_;
+    bool areServersCurrent_ = true; ///< the balancer knows the last change
 };
 
 } // namespace balsamreel::Relay
--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -44,7 +44,7 @@
     bool announce(const Announcement&);
     void leave(const std::string& instance, std::optional<std::int64_t> bornMillis);
 
-    /// What an earlier process of this node knew of the server; to be called once, before much is learned here.
+    /// What an earlier process of this node knew of the server; to be called once. An unannounced server waits for it a while.
     void recall(const ServerNotes&);
     const ServerNotes& notes() const { return notes_; }
 
@@ -117,6 +117,7 @@
     Admission::Gate gate_;
     Admission::KneeFinder knee_;
     ServerNotes notes_;
+    bool hasRecalled_ = false;
     std::uint32_t announcedSlots_ = 0;
     std::uint32_t runningAtServer_ = 0;
     Patience patience_;
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -8,6 +8,7 @@
 #include "balsamreel/Relay/NodeDirectory.h"
 #include "balsamreel/Relay/Peers.h"
 #include "balsamreel/Relay/StoreFollower.h"
+#include "balsamreel/Relay/WatchDuty.h"
 #include "balsamreel/Support/Metrics.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -71,12 +72,15 @@
     bool isReady() const;
     void takeConfig(const std::string& content, std::string_view source);
     void takeNodes(const std::vector<StoredObject>&);
+    void recall(const std::optional<std::string>& content);
     std::string ownEntry() const;
     void waitForSignals();
     void shutDown();
     void checkShutdown();
     void end();
     void tick();
+    void followStore(Instant now);
+    void askPeers(Instant now);
     void noteSuspension(Instant now);
     void followSettings(Instant now);
     void reload(std::string_view cause);
@@ -100,6 +104,7 @@
     StoreCalls storeCalls_;
     StoreFollower configFollower_;
     NodeDirectory directory_;
+    WatchDuty watchDuty_;
     boost::asio::ip::tcp::acceptor callerAcceptor_;
     boost::asio::ip::tcp::acceptor readinessAcceptor_;
     boost::asio::ip::tcp::acceptor announcementAcceptor_;
@@ -109,14 +114,17 @@
     boost::asio::steady_timer shutdownTimer_;
     boost::asio::steady_timer acceptTimer_;
     std::set<std::shared_ptr<CallerConnection>> callers_;
-    bool hasRecalled_ = false; ///< the notes of an earlier process of this node were looked for
     std::uint64_t configVersion_ = 0;
     std::string configContent_;
     CallerLimits limits_;
     Instant shutdownSince_;
-    Instant storeSeenAt_; ///< last moment at which both followers were connected
+    Instant startedAt_;
+    Instant storeSeenAt_; ///< last moment at which the store told all that it is asked for
     Instant lastStateQuery_;
-    Instant lastVersionQuery_;
+    Instant lastVersionComparison_;
+    Instant lastDutyDecision_;
+    Instant lastGlance_;
+    bool wasFollowing_ = false; ///< as the other nodes were told
     bool isShuttingDown_ = false;
     bool isServerGone_ = false; ///< the server beside this node has said that it ends
 };
--- a/include/balsamreel/Relay/NodeDirectory.h
+++ b/include/balsamreel/Relay/NodeDirectory.h
@@ -1,4 +1,4 @@
-// Finds the other nodes: announces this one in the store, then lists all, and lists again now and then.
+// Finds the other nodes through the store, and keeps the entry of this one there.
 #pragma once
 
 #include "balsamreel/Relay/EventLog.h"
@@ -8,25 +8,32 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace balsamreel::Relay {
 
-/// Each node writes its entry before it lists the others. So of two nodes that start together at least one
-/// sees the other, and dials it; the greeting tells the rest. No watch is needed, and entries are read again
-/// only to drop those that are gone.
+/// Lists the nodes with what may be some seconds old. A node without an entry writes one, and lists until it sees it: the
+/// listing then shows all entries that were written before. So of two nodes that start together at least one sees the other
+/// and dials it; the greeting tells the rest. A node that has an entry already reads it for what it had noted there.
 class NodeDirectory {
 public:
-    using OnListing = std::function<void(const std::vector<StoredObject>&)>;
+    struct Handlers {
+        std::function<void(const std::vector<StoredObject>&)> onListing;
+        std::function<void(const std::optional<std::string>& content)> onOwnEntry; ///< once, as found at the start
+    };
 
-    NodeDirectory(Loop&, StoreCalls&, const StoreCodec&, std::string name, std::string content, std::uint64_t seed, EventLog&, OnListing);
+    NodeDirectory(Loop&, StoreCalls&, const StoreCodec&, std::string name, std::string content, std::uint64_t seed, EventLog&, Handlers);
 
-    void start() { announce(); }
+    void start() { list({}); }
 
     /// The last call to the store was answered, and the nodes were listed.
     bool isConnected() const { return hasListed_ && failures_ == 0; }
 
+    /// A listing has shown the own entry, and with it all that are older.
+    bool hasSettled() const { return hasSeenOwn_; }
+
     /// What the own entry is to hold from now on.
     void setContent(std::string content);
 
@@ -34,11 +41,15 @@
     void remove();
 
 private:
-    void announce();
-    void onAnnounced(const StoreReply&);
     void list(const std::string& after);
     void onPage(const StoreReply&);
     void onListed();
+    void settle();
+    void announce();
+    void onAnnounced(const StoreReply&);
+    void readOwn();
+    void onOwnRead(const StoreReply&);
+    void recalled(const std::optional<std::string>& content);
     void write();
     bool noteReply(const StoreReply&, bool isGood, std::function<void()> again);
     void later(Duration, std::function<void()>);
@@ -49,11 +60,15 @@
     std::string content_;
     Support::Random random_;
     EventLog& log_;
-    OnListing onListing_;
+    Handlers handlers_;
     boost::asio::steady_timer timer_;
     std::vector<StoredObject> listed_; ///< pages so far
     unsigned failures_ = 0; ///< in a row
+    unsigned unseen_ = 0; ///< listings in a row that lacked the entry though it was written
     bool hasListed_ = false;
+    bool hasAnnounced_ = false;
+    bool hasSeenOwn_ = false; ///< a listing has shown the entry
+    bool hasRecalled_ = false;
     bool isRemoved_ = false;
 };
 
--- a/include/balsamreel/Relay/PeerLink.h
+++ b/include/balsamreel/Relay/PeerLink.h
@@ -30,7 +30,10 @@
     explicit PeerLink(Socket);
 
     void start(Handlers);
-    void send(const PeerMessage&);
+    void send(const PeerMessage& message) { sendFrame(encodeFrame(message)); }
+
+    /// For a message that goes to many: it is encoded once.
+    void sendFrame(std::string_view frame);
 
     /// Ends the connection for what the other side did; onClosed tells the cause.
     void fail(const std::string& cause);
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -15,7 +15,7 @@
 
 namespace balsamreel::Relay {
 
-constexpr std::uint8_t peerProtocolVersion = 2;
+constexpr std::uint8_t peerProtocolVersion = 3;
 /// Length in front of each frame.
 constexpr std::size_t frameHeaderBytes = 4;
 /// Larger than the largest body a caller may send, with its headers.
@@ -61,6 +61,7 @@
     NodeEntry sender;
     std::uint64_t boot = 0; ///< differs in each start of the process
     std::uint64_t configVersion = 0;
+    bool isFollowingStore = false;
     ServerStatus status;
 };
 
@@ -78,6 +79,16 @@
     std::uint64_t configVersion = 0;
 };
 
+/// The sender watches the store now and gets answers, or no longer.
+struct FollowingUpdate {
+    bool isFollowingStore = false;
+};
+
+/// Asks for the receiver's configuration if that is newer.
+struct ConfigQuery {
+    std::uint64_t configVersion = 0;
+};
+
 /// Asks for the nodes that the receiver knows, and for its configuration if that is newer.
 struct StateQuery {
     std::uint64_t configVersion = 0;
@@ -162,7 +173,7 @@
 
 struct Pong { };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, ShortOffer, OfferResult, Cancel, Inquiry, Ping, Pong, PaceUpdate, VersionUpdate>;
+using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, ShortOffer, OfferResult, Cancel, Inquiry, Ping, Pong, PaceUpdate, VersionUpdate, FollowingUpdate, ConfigQuery>;
 
 /// A whole frame with its length.
 std::string encodeFrame(const PeerMessage&);
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -6,6 +6,8 @@
 #include "balsamreel/Relay/OfferCodec.h"
 #include "balsamreel/Relay/PeerLink.h"
 #include "balsamreel/Relay/PeerMessages.h"
+#include "balsamreel/Relay/WatchDuty.h"
+#include "balsamreel/Support/Random.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,6 +38,7 @@
         std::function<std::uint64_t()> configVersion;
         std::function<std::string()> configText;
         std::function<void(const std::string&)> onConfigText; ///< from a peer that has a newer one
+        std::function<bool()> isFollowingStore;
         std::function<void()> onServersChanged;
         std::function<void(const std::string& node, const Support::Endpoint& server, bool isSlowed)> onPace; ///< in the own failure domain
     };
@@ -57,21 +60,27 @@
     void offer(const std::string& node, const Offer&, Guard::Done);
     void cancel(const std::string& node, std::uint64_t serial);
 
+    /// Other nodes that are in reach, or may be.
+    std::vector<WatchCandidate> watchCandidates() const;
+
     /// Tells some nodes the version of the configuration; what each learns it tells on.
     void publishVersion();
 
+    /// Compares the version with one node, so that one that was not told learns it too.
+    void compareVersion();
+
+    /// Tells all nodes whether this one follows the store.
+    void publishFollowing();
+
     /// Tells all nodes the status of the local server.
     void publishStatus();
 
-    /// Tells the nodes of this failure domain whether the local server is slowed down.
+    /// Tells the nodes of this failure domain that use the local server whether it is slowed down.
     void publishPace();
 
     /// Asks one node for a newer configuration and for the nodes that it knows.
     void queryState();
 
-    /// Asks a node that has named a newer version than this one for its configuration.
-    void queryNewerVersion(std::uint64_t ownVersion);
-
     /// Does what is due: pings, lost links, inquiries.
     void tick(Instant now);
 
@@ -93,6 +102,7 @@
         bool isConnecting = false;
         bool isGreeted = false;
         std::uint64_t configVersion = 0; ///< that it has named
+        bool isFollowingStore = false;
         std::uint64_t boot = 0;
         ServerStatus status;
         unsigned failures = 0; ///< dials in a row
@@ -105,9 +115,11 @@
     /// A link that another node has opened, and the offers that it brought.
     struct Guest {
         std::shared_ptr<PeerLink> link;
+        std::string name;
         std::uint64_t boot = 0;
         OfferDecoder decoder;
         std::set<std::uint64_t> openOffers;
+        Instant offeredAt; ///< when the last offer came
     };
     using GuestPointer = std::shared_ptr<Guest>;
 
@@ -125,10 +137,18 @@
     void onResult(const PeerPointer&, const OfferResult&);
     void onLost(const PeerPointer&, const std::string& cause);
     void watch(Instant now, const PeerPointer&);
-    static Duration redialDelay(const Peer&);
+    Duration redialDelay(const Peer&) const;
+    std::size_t linkedCount() const;
     void endExpired(Instant now, const PeerPointer&);
     Hello hello() const;
+    void greet(const GuestPointer&, const Hello&);
+    void onGuestVersion(const Guest&, std::uint64_t version);
     void shareState(const std::shared_ptr<PeerLink>&, std::uint64_t otherVersion);
+    void shareConfig(const std::shared_ptr<PeerLink>&, std::uint64_t otherVersion);
+    void noteVersion(Peer&, std::uint64_t version);
+    void queryNewerVersion(Instant now);
+    void publish(const PeerMessage&);
+    PeerPointer anyReachable();
 
     Loop& loop_;
     const NodeSettings& settings_;
@@ -141,7 +161,10 @@
     boost::asio::steady_timer acceptTimer_;
     std::map<std::string, PeerPointer> peers_;
     std::set<GuestPointer> guests_;
-    std::vector<std::weak_ptr<PeerLink>> neighbours_; ///< guests of the own failure domain
+    std::vector<std::weak_ptr<Guest>> neighbours_; ///< of the own failure domain
+    Support::Random random_;
+    std::uint64_t newestVersion_ = 0; ///< of the configuration, that a peer has named
+    Instant lastConfigQuery_;
     std::size_t queryTurn_ = 0;
     bool isClosed_ = false;
 };
--- a/include/balsamreel/Relay/StoreCalls.h
+++ b/include/balsamreel/Relay/StoreCalls.h
@@ -43,10 +43,12 @@
 /// Translates between the node's calls and the store's protocol. Pure functions.
 struct StoreCodec {
     std::function<StoreCall(Collection, const std::string& after, bool mayBeStale)> list;
+    std::function<StoreCall(Collection, const std::string& name)> get;
     std::function<StoreCall(Collection, std::uint64_t revision, Duration wait)> watch;
     std::function<StoreCall(Collection, const std::string& name, const std::string& content)> create;
     std::function<StoreCall(Collection, const std::string& name, const std::string& content)> replace;
     std::function<StoreCall(Collection, const std::string& name)> remove;
+    std::function<std::optional<StoredObject>(const std::string& body)> readObject;
     std::function<std::optional<StoreListing>(const std::string& body)> readListing;
     std::function<std::optional<StoreListing>(const std::string& body)> readChanges;
 };
--- a/include/balsamreel/Relay/StoreFollower.h
+++ b/include/balsamreel/Relay/StoreFollower.h
@@ -1,4 +1,4 @@
-// Follows one collection of the store: lists it, then watches it, and lists again where the history is gone.
+// Follows one collection of the store while asked to: lists it, then watches it, and lists again where the history is gone.
 #pragma once
 
 #include "balsamreel/Relay/EventLog.h"
@@ -23,10 +23,16 @@
     /// The pause lets changes that come together be told by one watch.
     StoreFollower(Loop&, StoreCalls&, const StoreCodec&, Collection, Duration pause, std::uint64_t seed, EventLog&, Handlers);
 
-    void start() { list({}); }
+    /// Lists once, with what may be some seconds old; a call that fails is not repeated.
+    void glance();
 
-    /// The last call to the store was answered.
-    bool isConnected() const { return failures_ == 0 && hasListed_; }
+    /// Starts to follow, or stops once the call that is open has ended.
+    void follow(bool isWanted);
+
+    bool isWanted() const { return isWanted_; }
+
+    /// Follows, and the last call to the store was answered.
+    bool isConnected() const { return isWanted_ && failures_ == 0 && hasListed_; }
 
 private:
     void list(const std::string& after);
@@ -36,6 +42,7 @@
     void failed(const StoreReply&, bool mustList);
     void reached();
     void later(Duration, std::function<void()>);
+    bool hasStopped();
 
     StoreCalls& calls_;
     const StoreCodec& codec_;
@@ -48,7 +55,9 @@
     std::vector<StoredObject> listed_; ///< pages so far
     std::uint64_t revision_ = 0;
     unsigned failures_ = 0; ///< in a row
-    bool hasListed_ = false;
+    bool hasListed_ = false; ///< since it follows
+    bool isWanted_ = false;
+    bool isRunning_ = false; ///< a call or a pause of following is open
 };
 
 } // namespace balsamreel::Relay
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -59,8 +59,17 @@
 {
 }
 
+void Entry::paceChanged(const Balance::ServerId& server, bool isSlowed)
+{
+    balancer_.paceChanged(Support::monotonicNow(), server, isSlowed);
+}
+
+// Changes of many servers come together, and a change counts when the next call is placed.
 void Entry::updateServers()
 {
+    if (areServersCurrent_)
+        return;
+    areServersCurrent_ = true;
     std::vector<Balance::ServerFacts> facts;
     instances_.clear();
     auto add = [&](const std::string& node, const std::string& domain, const Support::Endpoint& guard, std::uint64_t boot, const ServerStatus& status) {
@@ -140,6 +149,7 @@
 // Offers the call to the next server, or gives the refusal that the last one gave.
 void Entry::place(const CallPointer& call, NotRun ifNone)
 {
+    updateServers();
     auto now = Support::monotonicNow();
     if (call->placements >= maximumPlacements || now >= call->deadline)
         return refuse(call, ifNone);
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t ok = 200;
 constexpr double microsPerSecond = 1e6;
 constexpr auto adoptInterval = std::chrono::milliseconds(200);
+// A server that leaves may say that it is well. An earlier process of the node has noted it, but the store may be away.
+constexpr auto longestWaitForNotes = std::chrono::milliseconds(600);
 // A server that is slow to tell its pace gets its work without it.
 constexpr auto probeTimeout = std::chrono::milliseconds(15);
 
@@ -136,21 +138,35 @@
 {
     log_.line(LogClass::Notable, "notes-recalled", "last_slots={} left_instance={}", Support::nameOf(Admission::slotVerdictNames, notes.lastSlots), notes.leftInstance);
     auto before = status();
-    notes_ = notes;
+    hasRecalled_ = true;
+    // What was learned in the meantime is newer.
+    if (notes_.lastSlots == Admission::SlotVerdict::Unknown)
+        notes_.lastSlots = notes.lastSlots;
+    if (notes_.leftInstance.empty())
+        notes_.leftInstance = notes.leftInstance;
     const auto* current = server_.current();
     if (current && !server_.hasHeard() && current->instance == notes.leftInstance)
         server_.leave(notes.leftInstance, std::nullopt);
     if (knee_.verdict() == Admission::SlotVerdict::Unknown)
         knee_.recall(Support::monotonicNow(), notes.lastSlots);
     changed(before);
+    if (!healthPath_.empty())
+        adopt();
 }
 
 void Guard::setHealthPath(const std::string& path)
 {
     bool isFirst = healthPath_.empty() && !path.empty();
     healthPath_ = path;
-    if (isFirst)
-        adopt();
+    if (!isFirst)
+        return;
+    if (hasRecalled_)
+        return adopt();
+    adoptTimer_.expires_after(longestWaitForNotes);
+    adoptTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            adopt();
+    });
 }
 
 // A node that starts beside a running server asks it who it is: its next announcement may be more than a second away.
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -20,7 +20,12 @@
 // Changes that come together are told by one watch; each has to be in force soon.
 constexpr Duration configPause = std::chrono::milliseconds(50);
 constexpr Duration stateQueryInterval = std::chrono::milliseconds(500);
-constexpr Duration versionQueryInterval = std::chrono::milliseconds(300);
+constexpr Duration versionComparisonInterval = std::chrono::seconds(1);
+constexpr Duration dutyInterval = std::chrono::milliseconds(500);
+// A node that starts knows the others by then, unless the store does not answer.
+constexpr Duration longestWaitForNodes = std::chrono::seconds(3);
+// Until there is a configuration, the store is asked for it this often.
+constexpr Duration glanceInterval = std::chrono::seconds(1);
 constexpr Duration stateQueryDelay = std::chrono::milliseconds(250);
 // Callers are still sent here until the platform has seen that the node is not ready.
 constexpr Duration shortestShutdown = std::chrono::milliseconds(2500);
@@ -55,7 +60,7 @@
     , boot_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
     , guard_(loop, settings_, codec_.headers, codec_.readLoad, log_)
-    , peers_(loop, settings_, boot_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { takeConfig(content, "peer"); }, [this] { entry_.updateServers(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.paceChanged({node, server}, isSlowed); }})
+    , peers_(loop, settings_, boot_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { takeConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.paceChanged({node, server}, isSlowed); }})
     , entry_(loop, settings_, codec_.headers, boot_, guard_, peers_, log_, metrics_)
     , storeCalls_(loop, settings_.store)
     , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configPause, boot_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
@@ -64,7 +69,8 @@
                 takeConfig(object.content, "store"); }, [this](const StoredObject& object) {
         if (object.name == codec_.configName && !object.isDeleted)
             takeConfig(object.content, "store"); }})
-    , directory_(loop, storeCalls_, codec_.store, settings_.name, ownEntry(), boot_ + 3, log_, [this](const std::vector<StoredObject>& objects) { takeNodes(objects); })
+    , directory_(loop, storeCalls_, codec_.store, settings_.name, ownEntry(), boot_ + 3, log_, {[this](const std::vector<StoredObject>& objects) { takeNodes(objects); }, [this](const std::optional<std::string>& content) { recall(content); }})
+    , watchDuty_(settings_.name, settings_.domain)
     , callerAcceptor_(loop)
     , readinessAcceptor_(loop)
     , announcementAcceptor_(loop)
@@ -76,7 +82,7 @@
 {
     guard_.onStatusChange = [this] {
         peers_.publishStatus();
-        entry_.updateServers();
+        entry_.serversChanged();
     };
     guard_.onNotesChange = [this] { directory_.setContent(ownEntry()); };
     guard_.onPaceChange = [this] {
@@ -97,11 +103,11 @@
     listen(metricsAcceptor_, settings_.metricsAddress);
     accept(metricsAcceptor_, controlHost());
     peers_.listen();
-    configFollower_.start();
+    startedAt_ = Support::monotonicNow();
     directory_.start();
     waitForSignals();
-    storeSeenAt_ = Support::monotonicNow();
-    settingsCheckedAt_ = storeSeenAt_;
+    storeSeenAt_ = startedAt_;
+    settingsCheckedAt_ = startedAt_;
     settingsRevision_ = settingsSource_.revision();
     suspended_ = Support::suspendedTime();
     tick();
@@ -264,18 +270,22 @@
             log_.line(LogClass::Notable, "node-entry-unreadable", "name={}", object.name);
             continue;
         }
-        if (entry->node.name == settings_.name && !hasRecalled_)
-            guard_.recall(entry->notes);
         entries.push_back(std::move(entry->node));
     }
-    if (!hasRecalled_) {
-        hasRecalled_ = true;
-        directory_.setContent(ownEntry());
-    }
     peers_.learn(entries);
     peers_.forgetAllBut(entries);
 }
 
+// What an earlier process of this node has noted.
+void Node::recall(const std::optional<std::string>& content)
+{
+    auto entry = content ? codec_.readNode(*content) : std::nullopt;
+    if (content && !entry)
+        log_.line(LogClass::Notable, "node-entry-unreadable", "name={}", settings_.name);
+    guard_.recall(entry ? entry->notes : ServerNotes());
+    directory_.setContent(ownEntry());
+}
+
 void Node::waitForSignals()
 {
     signals_.async_wait([this](const boost::system::error_code& error, int signal) {
@@ -334,20 +344,8 @@
     followSettings(now);
     peers_.tick(now);
     guard_.tick(now);
-    bool hasStore = configFollower_.isConnected() && directory_.isConnected();
-    if (hasStore)
-        storeSeenAt_ = now;
-    // The store tells first; peers are asked where it does not.
-    bool needsPeers = now - storeSeenAt_ >= stateQueryDelay;
-    if (needsPeers && now - lastStateQuery_ >= stateQueryInterval) {
-        lastStateQuery_ = now;
-        peers_.queryState();
-    }
-    // What the store is slow to tell comes from a node that has it.
-    if (now - lastVersionQuery_ >= versionQueryInterval) {
-        lastVersionQuery_ = now;
-        peers_.queryNewerVersion(configVersion_);
-    }
+    followStore(now);
+    askPeers(now);
     tick_.expires_after(tickInterval);
     tick_.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -355,6 +353,40 @@
     });
 }
 
+// A few nodes watch the store; the others learn from them.
+void Node::followStore(Instant now)
+{
+    bool knowsNodes = directory_.hasSettled() || now - startedAt_ >= longestWaitForNodes;
+    if (knowsNodes && now - lastDutyDecision_ >= dutyInterval) {
+        lastDutyDecision_ = now;
+        configFollower_.follow(watchDuty_.decide(now, peers_.watchCandidates(), configFollower_.isConnected()));
+    }
+    if (configFollower_.isConnected() != wasFollowing_) {
+        wasFollowing_ = !wasFollowing_;
+        peers_.publishFollowing();
+    }
+    if (configVersion_ > 0 || now - lastGlance_ < glanceInterval)
+        return;
+    lastGlance_ = now;
+    configFollower_.glance();
+}
+
+// The store tells first; peers are asked where it does not, and what one has missed is found by comparing.
+void Node::askPeers(Instant now)
+{
+    bool hasStore = directory_.isConnected() && (configFollower_.isConnected() || !configFollower_.isWanted()) && configVersion_ > 0;
+    if (hasStore)
+        storeSeenAt_ = now;
+    if (now - storeSeenAt_ >= stateQueryDelay && now - lastStateQuery_ >= stateQueryInterval) {
+        lastStateQuery_ = now;
+        peers_.queryState();
+    }
+    if (now - lastVersionComparison_ < versionComparisonInterval)
+        return;
+    lastVersionComparison_ = now;
+    peers_.compareVersion();
+}
+
 // While the VM is suspended timers stand still, but the time of callers does not.
 void Node::noteSuspension(Instant now)
 {
--- a/lib/Relay/NodeDirectory.cpp
+++ b/lib/Relay/NodeDirectory.cpp
@@ -9,10 +9,16 @@
 constexpr Duration callTimeout = std::chrono::milliseconds(1500);
 constexpr Duration removalTimeout = std::chrono::milliseconds(600);
 constexpr Duration firstRetry = std::chrono::milliseconds(200);
-constexpr Duration longestRetry = std::chrono::milliseconds(1000);
+constexpr Duration longestRetry = std::chrono::milliseconds(1600);
 constexpr unsigned maximumDoublings = 3;
 // Greetings tell of new nodes at once; a listing only repairs what they missed.
-constexpr Duration listingInterval = std::chrono::seconds(10);
+constexpr Duration listingInterval = std::chrono::seconds(20);
+// Of the listings until the own entry is seen; the first may show it already.
+constexpr Duration firstSettling = std::chrono::milliseconds(250);
+constexpr Duration settlingInterval = std::chrono::seconds(1);
+// A listing that still lacks the entry after so many is right: somebody has removed it.
+constexpr unsigned maximumUnseen = 8;
+constexpr std::uint32_t notFound = 404;
 constexpr std::uint32_t conflict = 409;
 
 bool isSuccess(std::uint32_t status)
@@ -22,14 +28,14 @@
 
 } // namespace
 
-NodeDirectory::NodeDirectory(Loop& loop, StoreCalls& calls, const StoreCodec& codec, std::string name, std::string content, std::uint64_t seed, EventLog& log, OnListing onListing)
+NodeDirectory::NodeDirectory(Loop& loop, StoreCalls& calls, const StoreCodec& codec, std::string name, std::string content, std::uint64_t seed, EventLog& log, Handlers handlers)
     : calls_(calls)
     , codec_(codec)
     , name_(std::move(name))
     , content_(std::move(content))
     , random_(seed)
     , log_(log)
-    , onListing_(std::move(onListing))
+    , handlers_(std::move(handlers))
     , timer_(loop)
 {
 }
@@ -62,25 +68,11 @@
     return false;
 }
 
-void NodeDirectory::announce()
-{
-    calls_.call(codec_.create(Collection::Nodes, name_, content_), callTimeout, [this](const StoreReply& reply) { onAnnounced(reply); });
-}
-
-// A conflict tells that there is an entry; the listing tells whether it is right.
-void NodeDirectory::onAnnounced(const StoreReply& reply)
-{
-    bool isGood = isSuccess(reply.status) || reply.status == conflict;
-    if (noteReply(reply, isGood, [this] { announce(); }))
-        list({});
-}
-
 void NodeDirectory::list(const std::string& after)
 {
     if (after.empty())
         listed_.clear();
-    // The first listing has to show all that was written before it; later ones may lag.
-    calls_.call(codec_.list(Collection::Nodes, after, hasListed_), callTimeout, [this](const StoreReply& reply) { onPage(reply); });
+    calls_.call(codec_.list(Collection::Nodes, after, true), callTimeout, [this](const StoreReply& reply) { onPage(reply); });
 }
 
 void NodeDirectory::onPage(const StoreReply& reply)
@@ -96,25 +88,84 @@
 
 void NodeDirectory::onListed()
 {
-    bool isFirst = !hasListed_;
-    onListing_(listed_);
     hasListed_ = true;
+    handlers_.onListing(listed_);
+    if (isRemoved_)
+        return;
     auto own = std::ranges::find(listed_, name_, &StoredObject::name);
-    bool isMissing = own == listed_.end();
-    if (!isMissing && own->content != content_)
+    if (own == listed_.end())
+        return hasAnnounced_ ? settle() : announce();
+    bool isCurrent = own->content == content_;
+    unseen_ = 0;
+    hasAnnounced_ = true;
+    hasSeenOwn_ = true;
+    if (!hasRecalled_)
+        return readOwn();
+    // A stale listing may show what was there before the last write.
+    if (!isCurrent)
         write();
-    // A stale listing may lack an entry that was just written.
-    if (isMissing && !isFirst && !isRemoved_)
-        return announce();
     later(listingInterval, [this] { list({}); });
 }
 
+// The entry was written; listings may lag behind.
+void NodeDirectory::settle()
+{
+    if (++unseen_ > maximumUnseen) {
+        unseen_ = 0;
+        return announce();
+    }
+    later(settlingInterval, [this] { list({}); });
+}
+
+void NodeDirectory::announce()
+{
+    calls_.call(codec_.create(Collection::Nodes, name_, content_), callTimeout, [this](const StoreReply& reply) { onAnnounced(reply); });
+}
+
+// A conflict tells that there is an entry, which holds the notes of an earlier process.
+void NodeDirectory::onAnnounced(const StoreReply& reply)
+{
+    bool isGood = isSuccess(reply.status) || reply.status == conflict;
+    if (!noteReply(reply, isGood, [this] { announce(); }))
+        return;
+    hasAnnounced_ = true;
+    if (reply.status == conflict && !hasRecalled_)
+        return readOwn();
+    if (!hasRecalled_)
+        recalled(std::nullopt);
+    later(firstSettling, [this] { list({}); });
+}
+
+void NodeDirectory::readOwn()
+{
+    calls_.call(codec_.get(Collection::Nodes, name_), callTimeout, [this](const StoreReply& reply) { onOwnRead(reply); });
+}
+
+void NodeDirectory::onOwnRead(const StoreReply& reply)
+{
+    auto object = isSuccess(reply.status) ? codec_.readObject(reply.body) : std::nullopt;
+    if (!noteReply(reply, object.has_value() || reply.status == notFound, [this] { readOwn(); }))
+        return;
+    if (!object)
+        return announce();
+    // Written again only if the owner then asks for something else.
+    content_ = object->content;
+    recalled(content_);
+    later(hasSeenOwn_ ? listingInterval : settlingInterval, [this] { list({}); });
+}
+
+void NodeDirectory::recalled(const std::optional<std::string>& content)
+{
+    hasRecalled_ = true;
+    handlers_.onOwnEntry(content);
+}
+
 void NodeDirectory::setContent(std::string content)
 {
     if (content == content_)
         return;
     content_ = std::move(content);
-    if (hasListed_ && !isRemoved_)
+    if (hasRecalled_ && !isRemoved_)
         write();
 }
 
@@ -122,6 +173,7 @@
 // newer one, is found by the next listing.
 void NodeDirectory::write()
 {
+    log_.line(LogClass::Notable, "entry-write", "content={}", content_);
     calls_.call(codec_.replace(Collection::Nodes, name_, content_), callTimeout, [this](const StoreReply& reply) {
         if (!isSuccess(reply.status))
             log_.line(LogClass::Notable, "entry-write-failed", "status={} bytes={}", reply.status, reply.body.size());
--- a/lib/Relay/PeerLink.cpp
+++ b/lib/Relay/PeerLink.cpp
@@ -83,11 +83,11 @@
     return true;
 }
 
-void PeerLink::send(const PeerMessage& message)
+void PeerLink::sendFrame(std::string_view frame)
 {
     if (!isOpen_)
         return;
-    pending_ += encodeFrame(message);
+    pending_ += frame;
     if (pending_.size() > maximumPendingBytes)
         return fail("peer does not read");
     if (writing_.empty())
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -85,7 +85,7 @@
 template <typename Archive>
 void serialize(Archive& archive, Hello& hello)
 {
-    archive(hello.protocol, hello.sender, hello.boot, hello.configVersion, hello.status);
+    archive(hello.protocol, hello.sender, hello.boot, hello.configVersion, hello.isFollowingStore, hello.status);
 }
 
 template <typename Archive>
@@ -112,6 +112,18 @@
     archive(update.configVersion);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, FollowingUpdate& update)
+{
+    archive(update.isFollowingStore);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ConfigQuery& query)
+{
+    archive(query.configVersion);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, PeerList& list)
 {
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -13,13 +13,18 @@
 
 constexpr Duration firstRedial = std::chrono::milliseconds(150);
 constexpr Duration longestRedial = std::chrono::milliseconds(1200);
-constexpr unsigned maximumDoublings = 3;
+// A node that most others can be reached from is not cut off: a peer that it can't reach is gone, or dials it when it is back.
+constexpr Duration longestRedialOfGone = std::chrono::milliseconds(4800);
+constexpr unsigned maximumDoublings = 5;
+constexpr Duration configQueryInterval = std::chrono::milliseconds(300);
 constexpr Duration dialTimeout = std::chrono::seconds(1);
 // With offers open and nothing heard, the other side is asked for a sign of life, and then given up.
 constexpr Duration pingAfter = std::chrono::milliseconds(250);
 constexpr Duration lostAfter = std::chrono::milliseconds(700);
-// After an accept that failed, mostly for want of descriptors.
+// A node that sent no offer for this long is not told the server's pace: it would hear of it a hundred times for each call.
+constexpr Duration paceInterest = std::chrono::seconds(1);
 constexpr std::size_t maximumVersionReceivers = 16;
+// After an accept that failed, mostly for want of descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
 boost::asio::ip::tcp::endpoint endpointOf(const Support::Endpoint& endpoint)
@@ -39,6 +44,7 @@
     , self_{settings.name, settings.peerAddress, settings.domain}
     , acceptor_(loop)
     , acceptTimer_(loop)
+    , random_(boot)
 {
 }
 
@@ -109,15 +115,7 @@
 {
     const auto& link = guest->link;
     if (const auto* greeting = std::get_if<Hello>(&message)) {
-        if (greeting->protocol != peerProtocolVersion) {
-            log_.line(LogClass::Notable, "peer-version", "peer={} version={}", greeting->sender.name, greeting->protocol);
-            return link->close();
-        }
-        guest->boot = greeting->boot;
-        if (greeting->sender.domain == self_.domain)
-            neighbours_.push_back(link);
-        link->send(hello());
-        learn({greeting->sender});
+        greet(guest, *greeting);
     } else if (auto* definition = std::get_if<ContextDefinition>(&message)) {
         if (!guest->decoder.define(std::move(*definition)))
             link->fail("context slot that does not exist");
@@ -130,10 +128,41 @@
         serveInquiry(guest, *inquiry);
     else if (const auto* query = std::get_if<StateQuery>(&message))
         shareState(link, query->configVersion);
+    else if (const auto* configQuery = std::get_if<ConfigQuery>(&message))
+        shareConfig(link, configQuery->configVersion);
+    else if (const auto* update = std::get_if<VersionUpdate>(&message))
+        onGuestVersion(*guest, update->configVersion);
     else if (std::holds_alternative<Ping>(message))
         link->send(Pong());
 }
 
+// The node that dials is alive, so it is dialled at once, however often that failed before.
+void Peers::greet(const GuestPointer& guest, const Hello& greeting)
+{
+    if (greeting.protocol != peerProtocolVersion) {
+        log_.line(LogClass::Notable, "peer-version", "peer={} version={}", greeting.sender.name, greeting.protocol);
+        return guest->link->close();
+    }
+    guest->boot = greeting.boot;
+    guest->name = greeting.sender.name;
+    if (greeting.sender.domain == self_.domain)
+        neighbours_.push_back(guest);
+    guest->link->send(hello());
+    if (auto known = peers_.find(greeting.sender.name); known != peers_.end())
+        known->second->failures = 0;
+    learn({greeting.sender});
+}
+
+// Tells the one of the two that is behind.
+void Peers::onGuestVersion(const Guest& guest, std::uint64_t version)
+{
+    if (version < host_.configVersion())
+        return guest.link->send(VersionUpdate{host_.configVersion()});
+    auto known = peers_.find(guest.name);
+    if (known != peers_.end())
+        noteVersion(*known->second, version);
+}
+
 Guard::Done Peers::resultTo(const GuestPointer& guest, std::uint64_t serial)
 {
     guest->openOffers.insert(serial);
@@ -148,6 +177,7 @@
     auto offer = guest->decoder.decode(std::move(message));
     if (!offer)
         return guest->link->fail("offer without its context");
+    guest->offeredAt = Support::monotonicNow();
     guard_.offer({guest->boot, offer->serial}, *offer, resultTo(guest, offer->serial));
 }
 
@@ -167,6 +197,7 @@
     greeting.sender = self_;
     greeting.boot = boot_;
     greeting.configVersion = host_.configVersion();
+    greeting.isFollowingStore = host_.isFollowingStore();
     greeting.status = guard_.status();
     return greeting;
 }
@@ -179,6 +210,11 @@
             list.peers.push_back(peer->entry);
     }
     link->send(list);
+    shareConfig(link, otherVersion);
+}
+
+void Peers::shareConfig(const std::shared_ptr<PeerLink>& link, std::uint64_t otherVersion)
+{
     if (host_.configVersion() > otherVersion)
         link->send(ConfigDocument{host_.configText()});
 }
@@ -280,8 +316,10 @@
     }
     if (const auto* pace = std::get_if<PaceUpdate>(&message))
         return host_.onPace(peer->entry.name, peer->status.address, pace->isSlowed);
-    if (const auto* update = std::get_if<VersionUpdate>(&message)) {
-        peer->configVersion = std::max(peer->configVersion, update->configVersion);
+    if (const auto* update = std::get_if<VersionUpdate>(&message))
+        return noteVersion(*peer, update->configVersion);
+    if (const auto* update = std::get_if<FollowingUpdate>(&message)) {
+        peer->isFollowingStore = update->isFollowingStore;
         return;
     }
     if (const auto* list = std::get_if<PeerList>(&message))
@@ -311,7 +349,8 @@
     peer->isGreeted = true;
     peer->failures = 0;
     log_.line(LogClass::Notable, "peer-up", "peer={} boot={} service={} instance={}", peer->entry.name, greeting.boot, greeting.status.service, greeting.status.instance);
-    peer->configVersion = greeting.configVersion;
+    peer->isFollowingStore = greeting.isFollowingStore;
+    noteVersion(*peer, greeting.configVersion);
     host_.onServersChanged();
 }
 
@@ -330,6 +369,7 @@
     log_.line(LogClass::Notable, "peer-lost", "peer={} cause=\"{}\" offers={}", peer->entry.name, cause, peer->pending.size());
     peer->link.reset();
     peer->isGreeted = false;
+    peer->isFollowingStore = false;
     peer->nextDial = Support::monotonicNow() + redialDelay(*peer);
     std::vector<Guard::Done> ended;
     for (auto entry = peer->pending.begin(); entry != peer->pending.end();) {
@@ -349,11 +389,27 @@
 }
 
 // None after a link that was up; longer with each failure in a row.
-Duration Peers::redialDelay(const Peer& peer)
+Duration Peers::redialDelay(const Peer& peer) const
 {
     if (peer.failures == 0)
         return Duration::zero();
-    return std::min(longestRedial, firstRedial * (1U << std::min(peer.failures - 1, maximumDoublings)));
+    bool reachesMost = 2 * linkedCount() > peers_.size();
+    return std::min(reachesMost ? longestRedialOfGone : longestRedial, firstRedial * (1U << std::min(peer.failures - 1, maximumDoublings)));
+}
+
+std::size_t Peers::linkedCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(peers_, [](const auto& known) { return known.second->link != nullptr; }));
+}
+
+std::vector<WatchCandidate> Peers::watchCandidates() const
+{
+    std::vector<WatchCandidate> candidates;
+    for (const auto& [name, peer] : peers_) {
+        if (peer->failures == 0)
+            candidates.push_back({name, peer->entry.domain, peer->isFollowingStore});
+    }
+    return candidates;
 }
 
 std::vector<PeerServer> Peers::servers() const
@@ -393,39 +449,83 @@
 void Peers::publishPace()
 {
     std::erase_if(neighbours_, [](const auto& weak) { return weak.expired(); });
-    PaceUpdate update{guard_.isSlowed()};
+    auto frame = encodeFrame(PaceUpdate{guard_.isSlowed()});
+    auto usedSince = Support::monotonicNow() - paceInterest;
     for (const auto& weak : neighbours_) {
-        if (auto link = weak.lock())
-            link->send(update);
+        auto neighbour = weak.lock();
+        if (neighbour && neighbour->offeredAt >= usedSince)
+            neighbour->link->sendFrame(frame);
     }
 }
 
-// The store's watch tells each node; this is for those whose watch has gone silent or whom the store turns away.
+// A change spreads from the nodes that watch the store, each telling some others, wherever it starts.
 void Peers::publishVersion()
 {
-    std::size_t told = 0;
-    for (const auto& guest : guests_) {
-        guest->link->send(VersionUpdate{host_.configVersion()});
-        if (++told == maximumVersionReceivers)
-            return;
+    auto frame = encodeFrame(VersionUpdate{host_.configVersion()});
+    std::vector<std::shared_ptr<PeerLink>> links;
+    for (const auto& guest : guests_)
+        links.push_back(guest->link);
+    for (std::size_t told = 0; told < links.size() && told < maximumVersionReceivers; ++told) {
+        std::swap(links[told], links[told + random_.below(links.size() - told)]);
+        links[told]->sendFrame(frame);
     }
 }
 
-void Peers::queryNewerVersion(std::uint64_t ownVersion)
+void Peers::noteVersion(Peer& peer, std::uint64_t version)
 {
+    peer.configVersion = std::max(peer.configVersion, version);
+    newestVersion_ = std::max(newestVersion_, version);
+    queryNewerVersion(Support::monotonicNow());
+}
+
+// One node at a time is asked for a newer configuration; the next one where no answer comes.
+void Peers::queryNewerVersion(Instant now)
+{
+    auto own = host_.configVersion();
+    if (newestVersion_ <= own || now - lastConfigQuery_ < configQueryInterval)
+        return;
+    std::vector<PeerPointer> ahead;
     for (const auto& [name, peer] : peers_) {
-        if (peer->configVersion <= ownVersion || !peer->isGreeted || !peer->link)
-            continue;
-        peer->link->send(StateQuery{ownVersion});
+        if (peer->configVersion > own && peer->isGreeted && peer->link)
+            ahead.push_back(peer);
+    }
+    if (ahead.empty())
         return;
+    lastConfigQuery_ = now;
+    ahead[random_.below(ahead.size())]->link->send(ConfigQuery{own});
+}
+
+void Peers::compareVersion()
+{
+    if (auto peer = anyReachable())
+        peer->link->send(VersionUpdate{host_.configVersion()});
+}
+
+Peers::PeerPointer Peers::anyReachable()
+{
+    std::vector<PeerPointer> reachable;
+    for (const auto& [name, peer] : peers_) {
+        if (peer->isGreeted && peer->link)
+            reachable.push_back(peer);
     }
+    return reachable.empty() ? nullptr : reachable[random_.below(reachable.size())];
 }
 
-void Peers::publishStatus()
+void Peers::publish(const PeerMessage& message)
 {
-    StatusUpdate update{guard_.status()};
+    auto frame = encodeFrame(message);
     for (const auto& guest : guests_)
-        guest->link->send(update);
+        guest->link->sendFrame(frame);
+}
+
+void Peers::publishFollowing()
+{
+    publish(FollowingUpdate{host_.isFollowingStore()});
+}
+
+void Peers::publishStatus()
+{
+    publish(StatusUpdate{guard_.status()});
 }
 
 // Peers of the own failure domain first, then each in turn.
@@ -478,10 +578,14 @@
 
 void Peers::tick(Instant now)
 {
-    std::vector<PeerPointer> all;
-    for (const auto& [name, peer] : peers_)
-        all.push_back(peer);
-    for (const auto& peer : all) {
+    queryNewerVersion(now);
+    std::vector<PeerPointer> due;
+    for (const auto& [name, peer] : peers_) {
+        bool isDialDue = !peer->link && !peer->isConnecting && now >= peer->nextDial;
+        if (isDialDue || !peer->pending.empty())
+            due.push_back(peer);
+    }
+    for (const auto& peer : due) {
         watch(now, peer);
         endExpired(now, peer);
         if (!peer->link && !peer->isConnecting && now >= peer->nextDial)
--- a/lib/Relay/StoreFollower.cpp
+++ b/lib/Relay/StoreFollower.cpp
@@ -40,8 +40,43 @@
     });
 }
 
+void StoreFollower::glance()
+{
+    calls_.call(codec_.list(collection_, {}, true), callTimeout, [this](const StoreReply& reply) {
+        auto page = reply.status == ok ? codec_.readListing(reply.body) : std::nullopt;
+        if (!page)
+            log_.line(LogClass::Notable, "store-glance-failed", "collection={} status={} bytes={}", Support::nameOf(collectionNames, collection_), reply.status, reply.body.size());
+        else if (!page->objects.empty())
+            handlers_.onListing(page->objects);
+    });
+}
+
+void StoreFollower::follow(bool isWanted)
+{
+    if (isWanted == isWanted_)
+        return;
+    isWanted_ = isWanted;
+    log_.line(LogClass::Notable, "store-follow", "collection={} wanted={}", Support::nameOf(collectionNames, collection_), isWanted);
+    if (!isWanted_ || isRunning_)
+        return;
+    isRunning_ = true;
+    list({});
+}
+
+bool StoreFollower::hasStopped()
+{
+    if (isWanted_)
+        return false;
+    isRunning_ = false;
+    hasListed_ = false;
+    failures_ = 0;
+    return true;
+}
+
 void StoreFollower::list(const std::string& after)
 {
+    if (hasStopped())
+        return;
     if (after.empty())
         listed_.clear();
     calls_.call(codec_.list(collection_, after, false), callTimeout, [this](const StoreReply& reply) { onPage(reply); });
@@ -67,6 +102,8 @@
 
 void StoreFollower::watch()
 {
+    if (hasStopped())
+        return;
     auto wait = longestWatch - Duration(static_cast<Duration::rep>(static_cast<double>(longestWatch.count()) * random_.fraction() / 2));
     calls_.call(codec_.watch(collection_, revision_, wait), wait + watchReserve, [this](const StoreReply& reply) { onChanges(reply); });
 }
