--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -98,9 +98,10 @@
     std::vector<NodeEntry> peers;
 };
 
-/// An accepted configuration in the form in which the store holds it.
+/// An accepted configuration in the form in which the store holds it, compressed.
 struct ConfigDocument {
-    std::string text;
+    std::uint64_t configVersion = 0;
+    std::string compressedText;
 };
 
 /// One attempt at the server beside the receiver.
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -145,6 +145,7 @@
     void onGuestVersion(const Guest&, std::uint64_t version);
     void shareState(const std::shared_ptr<PeerLink>&, std::uint64_t otherVersion);
     void shareConfig(const std::shared_ptr<PeerLink>&, std::uint64_t otherVersion);
+    void takeConfig(const Peer&, const ConfigDocument&);
     void noteVersion(Peer&, std::uint64_t version);
     void queryNewerVersion(Instant now);
     void publish(const PeerMessage&);
@@ -163,6 +164,7 @@
     std::set<GuestPointer> guests_;
     std::vector<std::weak_ptr<Guest>> neighbours_; ///< of the own failure domain
     Support::Random random_;
+    ConfigDocument sharedConfig_; ///< the configuration as it was last given to a peer
     std::uint64_t newestVersion_ = 0; ///< of the configuration, that a peer has named
     Instant lastConfigQuery_;
     std::size_t queryTurn_ = 0;
--- a/include/balsamreel/Relay/StoreFollower.h
+++ b/include/balsamreel/Relay/StoreFollower.h
@@ -23,7 +23,7 @@
     /// The pause lets changes that come together be told by one watch.
     StoreFollower(Loop&, StoreCalls&, const StoreCodec&, Collection, Duration pause, std::uint64_t seed, EventLog&, Handlers);
 
-    /// Lists once, with what may be some seconds old; a call that fails is not repeated.
+    /// Lists once; a call that fails is not repeated.
     void glance();
 
     /// Starts to follow, or stops once the call that is open has ended.
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -24,8 +24,11 @@
 constexpr Duration dutyInterval = std::chrono::milliseconds(500);
 // A node that starts knows the others by then, unless the store does not answer.
 constexpr Duration longestWaitForNodes = std::chrono::seconds(3);
-// Until there is a configuration, the store is asked for it this often.
+// Until there is a configuration, the store is asked for it this often. What it answers may not be stale: a node that is
+// started again would follow a version that was replaced before.
 constexpr Duration glanceInterval = std::chrono::seconds(1);
+// A node that starts beside running ones has their configuration by then.
+constexpr Duration firstGlance = std::chrono::milliseconds(500);
 constexpr Duration stateQueryDelay = std::chrono::milliseconds(250);
 // Callers are still sent here until the platform has seen that the node is not ready.
 constexpr Duration shortestShutdown = std::chrono::milliseconds(2500);
@@ -237,6 +240,8 @@
 
 void Node::takeConfig(const std::string& content, std::string_view source)
 {
+    if (content == configContent_)
+        return;
     std::string error;
     auto config = codec_.readConfig(content, error);
     if (!config) {
@@ -365,7 +370,7 @@
         wasFollowing_ = !wasFollowing_;
         peers_.publishFollowing();
     }
-    if (configVersion_ > 0 || now - lastGlance_ < glanceInterval)
+    if (configVersion_ > 0 || now - startedAt_ < firstGlance || now - lastGlance_ < glanceInterval)
         return;
     lastGlance_ = now;
     configFollower_.glance();
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -133,7 +133,8 @@
 template <typename Archive>
 void serialize(Archive& archive, ConfigDocument& document)
 {
-    longText(archive, document.text);
+    archive(document.configVersion);
+    longText(archive, document.compressedText);
 }
 
 template <typename Archive>
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -1,5 +1,7 @@
 #include "balsamreel/Relay/Peers.h"
 
+#include "balsamreel/Support/Compression.h"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
@@ -16,6 +18,8 @@
 // A node that most others can be reached from is not cut off: a peer that it can't reach is gone, or dials it when it is back.
 constexpr Duration longestRedialOfGone = std::chrono::milliseconds(4800);
 constexpr unsigned maximumDoublings = 5;
+// The store holds no larger values.
+constexpr std::size_t maximumConfigBytes = 16 * 1024 * 1024;
 constexpr Duration configQueryInterval = std::chrono::milliseconds(300);
 constexpr Duration dialTimeout = std::chrono::seconds(1);
 // With offers open and nothing heard, the other side is asked for a sign of life, and then given up.
@@ -215,8 +219,25 @@
 
 void Peers::shareConfig(const std::shared_ptr<PeerLink>& link, std::uint64_t otherVersion)
 {
-    if (host_.configVersion() > otherVersion)
-        link->send(ConfigDocument{host_.configText()});
+    auto version = host_.configVersion();
+    if (version <= otherVersion)
+        return;
+    if (sharedConfig_.configVersion != version)
+        sharedConfig_ = {version, Support::compress(host_.configText())};
+    link->send(sharedConfig_);
+}
+
+// Several peers may give the same version.
+void Peers::takeConfig(const Peer& peer, const ConfigDocument& document)
+{
+    if (document.configVersion <= host_.configVersion())
+        return;
+    auto text = Support::decompress(document.compressedText, maximumConfigBytes);
+    if (!text) {
+        log_.line(LogClass::Notable, "config-unreadable", "source={} version={} bytes={}", peer.entry.name, document.configVersion, document.compressedText.size());
+        return;
+    }
+    host_.onConfigText(*text);
 }
 
 void Peers::learn(const std::vector<NodeEntry>& entries)
@@ -325,7 +346,7 @@
     if (const auto* list = std::get_if<PeerList>(&message))
         return learn(list->peers);
     if (const auto* document = std::get_if<ConfigDocument>(&message))
-        host_.onConfigText(document->text);
+        takeConfig(*peer, *document);
 }
 
 void Peers::onHello(const PeerPointer& peer, const Hello& greeting)
--- a/lib/Relay/StoreFollower.cpp
+++ b/lib/Relay/StoreFollower.cpp
@@ -42,7 +42,7 @@
 
 void StoreFollower::glance()
 {
-    calls_.call(codec_.list(collection_, {}, true), callTimeout, [this](const StoreReply& reply) {
+    calls_.call(codec_.list(collection_, {}, false), callTimeout, [this](const StoreReply& reply) {
         auto page = reply.status == ok ? codec_.readListing(reply.body) : std::nullopt;
         if (!page)
             log_.line(LogClass::Notable, "store-glance-failed", "collection={} status={} bytes={}", Support::nameOf(collectionNames, collection_), reply.status, reply.body.size());
--- a/lib/Relay/WatchDuty.cpp
+++ b/lib/Relay/WatchDuty.cpp
@@ -1,7 +1,7 @@
 #include "balsamreel/Relay/WatchDuty.h"
 
-#include <algorithm>
-#include <functional>
+#include "balsamreel/Support/Hash.h"
+
 #include <set>
 #include <utility>
 
@@ -16,11 +16,11 @@
 // The store may be down for all: then each further node that tries only adds to its load.
 constexpr Duration standInInterval = std::chrono::seconds(2);
 
-using Rank = std::pair<std::size_t, std::string_view>;
+using Rank = std::pair<std::uint32_t, std::string_view>;
 
 Rank rankOf(std::string_view name)
 {
-    return {std::hash<std::string_view>()(name), name};
+    return {Support::stableHash(name), name};
 }
 
 } // namespace
--- a/lib/Wire/Messages.cpp
+++ b/lib/Wire/Messages.cpp
@@ -1,13 +1,11 @@
 #include "balsamreel/Wire/Messages.h"
 
+#include "balsamreel/Support/Compression.h"
+#include "balsamreel/Support/Hash.h"
 #include "balsamreel/Wire/Errors.h"
 
-#include <Poco/DeflatingStream.h>
-#include <Poco/Exception.h>
-#include <Poco/InflatingStream.h>
 #include <cereal/archives/portable_binary.hpp>
 
-#include <array>
 #include <sstream>
 
 namespace balsamreel::Support {
@@ -206,38 +204,6 @@
     serializeList(archive, message.states, maximumStatesPerMessage);
 }
 
-// Finalizer of splitmix64, so that all bits of a hash count.
-std::uint32_t mix(std::uint64_t value)
-{
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return static_cast<std::uint32_t>(value ^ (value >> 31U));
-}
-
-// FNV-1a: the same on every node, unlike std::hash.
-std::uint32_t hashBytes(const std::string& bytes)
-{
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (char byte : bytes)
-        hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3ULL;
-    return mix(hash);
-}
-
-// Unfolds a compressed text; stops where it grows beyond the limit.
-bool inflate(const std::string& compressed, std::size_t limit, std::string& text)
-{
-    constexpr std::size_t chunkBytes = 4096;
-    std::array<char, chunkBytes> chunk;
-    std::istringstream source(compressed);
-    Poco::InflatingInputStream stream(source);
-    while (stream.read(chunk.data(), chunk.size()) || stream.gcount() > 0) {
-        if (text.size() + static_cast<std::size_t>(stream.gcount()) > limit)
-            return false;
-        text.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-    }
-    return true;
-}
-
 } // namespace
 
 std::vector<std::uint8_t> encode(const Message& message)
@@ -264,7 +230,7 @@
 
 std::uint32_t nameHash(const std::string& name)
 {
-    return hashBytes(name);
+    return Support::stableHash(name);
 }
 
 std::uint32_t fingerprint(const MemberRecord& record)
@@ -272,7 +238,7 @@
     MemberRecord content = record;
     content.version = 0;
     content.state = MemberState::Alive;
-    return hashBytes(encodeValue(std::move(content)));
+    return Support::stableHash(encodeValue(std::move(content)));
 }
 
 namespace {
@@ -305,8 +271,7 @@
 
 std::string encodeTable(const std::vector<MemberRecord>& records)
 {
-    std::ostringstream compressed;
-    Poco::DeflatingOutputStream stream(compressed, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+    std::ostringstream stream;
     {
         cereal::PortableBinaryOutputArchive archive(stream);
         auto copy = records;
@@ -314,20 +279,15 @@
         archive(version);
         serializeList(archive, copy, maximumMembers);
     }
-    stream.close();
-    return std::move(compressed).str();
+    return Support::compress(std::move(stream).str());
 }
 
 std::error_code decodeTable(const std::string& bytes, std::vector<MemberRecord>& records)
 {
-    std::string text;
-    try {
-        if (!inflate(bytes, maximumTableBytes, text))
-            return WireError::Oversized;
-    } catch (const Poco::Exception&) {
+    auto text = Support::decompress(bytes, maximumTableBytes);
+    if (!text)
         return WireError::Malformed;
-    }
-    return decodeVersioned(std::move(text), [&](auto& archive) { serializeList(archive, records, maximumMembers); });
+    return decodeVersioned(std::move(*text), [&](auto& archive) { serializeList(archive, records, maximumMembers); });
 }
 
 std::error_code decode(std::span<const std::uint8_t> bytes, Message& message)
--- /dev/null
+++ b/unittests/Support/CompressionTest.cpp
@@ -0,0 +1,25 @@
+#include "balsamreel/Support/Compression.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace balsamreel::Support {
+
+RC_GTEST_PROP(Compression, TextsComeBackAsTheyWere, (const std::string& text))
+{
+    RC_ASSERT(decompress(compress(text), text.size()) == text);
+}
+
+TEST(Compression, StopsAtItsLimit)
+{
+    EXPECT_FALSE(decompress(compress(std::string(100'000, 'x')), 99'999));
+}
+
+RC_GTEST_PROP(Compression, DamagedBytesDoNoHarm, (std::string bytes))
+{
+    constexpr std::size_t limit = 1000;
+    auto text = decompress(bytes, limit);
+    RC_ASSERT(!text || text->size() <= limit);
+}
+
+} // namespace balsamreel::Support
