--- a/unittests/Support/CompressionTest.cpp
+++ b/unittests/Support/CompressionTest.cpp
@@ -15,7 +15,7 @@
     EXPECT_FALSE(decompress(compress(std::string(100'000, 'x')), 99'999));
 }
 
-RC_GTEST_PROP(Compression, DamagedBytesDoNoHarm, (std::string bytes))
+RC_GTEST_PROP(Compression, DamagedBytesDoNoHarm, (const std::string& bytes))
 {
     constexpr std::size_t limit = 1000;
     auto text = decompress(bytes, limit);
