--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -24,12 +24,17 @@
 
 namespace balsamreel::Relay {
 
+/// Decoders of what a server reports about itself with a response. Each returns null if the report is malformed.
+struct ServerReportReaders {
+    std::function<std::optional<LoadReport>(std::string_view)> load;
+    std::function<std::optional<ServerNotice>(const boost::beast::http::fields&)> notice;
+};
+
 class Guard {
 public:
     using Done = std::function<void(const Outcome&, const Wire::LoadStamp&)>;
-    using LoadReader = std::function<std::optional<LoadReport>(std::string_view)>;
 
-    Guard(Loop&, const NodeSettings&, HeaderNames, LoadReader, EventLog&);
+    Guard(Loop&, const NodeSettings&, HeaderNames, ServerReportReaders, EventLog&);
 
     /// Admits, queues or refuses an attempt. Calls back once, possibly before returning, unless the attempt is
     /// cancelled.
@@ -69,6 +74,12 @@
     Wire::LoadStamp loadStamp() const;
     std::size_t openCount() const { return attempts_.size(); }
 
+    /// What the current server process has stated last.
+    const ServerNotice& serverNotice() const { return serverNotice_; }
+
+    /// Number of requests sent to the server, without health probes.
+    std::uint64_t sentCount() const { return sentCount_; }
+
     /// Called whenever status() has changed.
     std::function<void()> onStatusChange;
 
@@ -100,6 +111,7 @@
     void discover();
     void onDiscoveryResponse(const HttpResult&);
     bool updateSlowdownState(std::string_view load); ///< false if the load header is malformed
+    void updateNotice(std::string_view source, const HttpResponse&);
     void releaseHeld();
     void onServerResponse(std::uint64_t ticket, HttpResult);
     void complete(std::uint64_t ticket, const Outcome&, bool hasSucceeded);
@@ -115,7 +127,7 @@
     Loop& loop_;
     const NodeSettings& settings_;
     HeaderNames names_;
-    LoadReader readLoad_;
+    ServerReportReaders readers_;
     EventLog& log_;
     LocalServer server_;
     Admission::AdmissionController admission_;
@@ -124,6 +136,8 @@
     bool hasRestoredState_ = false;
     std::uint32_t announcedSlots_ = 0;
     std::uint32_t runningAtServer_ = 0;
+    ServerNotice serverNotice_;
+    std::uint64_t sentCount_ = 0;
     QueueDeadline queueDeadline_;
     std::uint64_t nextTicket_ = 1;
     std::unordered_map<std::uint64_t, std::unique_ptr<Attempt>> attempts_;
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -133,6 +133,14 @@
     std::uint32_t slowdownPercent = 100; ///< ratio of the current to the usual service time; 100 = usual
 };
 
+/// What a server states with a response about the requests that it takes.
+struct ServerNotice {
+    std::optional<double> requestsPerSecond; ///< limit on the requests of all nodes together; null: no limit
+    bool isLeaving = false; ///< it is about to end and takes no new requests
+
+    bool operator==(const ServerNotice&) const = default;
+};
+
 enum class ServerState : std::uint8_t { Ready,
     Draining };
 
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -44,7 +44,7 @@
     std::function<std::string(const StoredNodeRecord&)> writeNode;
     std::function<ControlRequest(const Request&)> readControlRequest;
     std::function<ServerResponse()> acknowledge; ///< the response to announcements and leave requests
-    Guard::LoadReader readLoad;
+    ServerReportReaders serverReports;
     std::string configName; ///< name of the store object that holds the configuration
 };
 
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -61,11 +61,11 @@
 
 } // namespace
 
-Guard::Guard(Loop& loop, const NodeSettings& settings, HeaderNames names, LoadReader readLoad, EventLog& log)
+Guard::Guard(Loop& loop, const NodeSettings& settings, HeaderNames names, ServerReportReaders readers, EventLog& log)
     : loop_(loop)
     , settings_(settings)
     , names_(std::move(names))
-    , readLoad_(std::move(readLoad))
+    , readers_(std::move(readers))
     , log_(log)
     , server_(settings.service, settings.server)
     , admission_(admissionOptions(slotsBeforeAnnouncement))
@@ -114,6 +114,7 @@
         log_.line(LogClass::Notable, "server-state", "service={} before={} now={} slots={}", now.service, before.instance, now.instance, now.slots);
         idleConnections_.clear();
         startPolicy_.reset();
+        serverNotice_ = {};
     }
     onStatusChange();
 }
@@ -204,13 +205,14 @@
         auto text = response->fields[boost::beast::string_view(name.data(), name.size())];
         return std::string(text.data(), text.size());
     };
-    auto load = readLoad_(value(names_.load));
+    auto load = readers_.load(value(names_.load));
     auto instance = value(names_.instance);
     if (instance.empty() || instance == persistedState_.departedInstance || !load || load->slots == 0)
         return;
     auto before = status();
     server_.discover(instance, load->slots);
     onServerChange(before);
+    updateNotice("health", *response);
 }
 
 void Guard::handleLeave(const std::string& instance, std::optional<std::int64_t> processStartMillis)
@@ -379,6 +381,7 @@
     probeTimer_.cancel();
     const auto* response = std::get_if<HttpResponse>(&result);
     if (response) {
+        updateNotice("health", *response);
         auto load = response->fields[boost::beast::string_view(names_.load.data(), names_.load.size())];
         if (!updateSlowdownState({load.data(), load.size()}))
             startPolicy_.setUnobservable();
@@ -394,7 +397,7 @@
 
 bool Guard::updateSlowdownState(std::string_view load)
 {
-    auto report = readLoad_(load);
+    auto report = readers_.load(load);
     if (!report)
         return false;
     auto now = Support::monotonicNow();
@@ -409,6 +412,16 @@
     return true;
 }
 
+// Every response of the server repeats its limit while the limit holds, so a response without one ends it.
+void Guard::updateNotice(std::string_view source, const HttpResponse& response)
+{
+    auto notice = readers_.notice(response.fields);
+    if (!notice || *notice == serverNotice_)
+        return;
+    log_.line(LogClass::Notable, "server-notice", "instance={} source={} limit_before={} limit={} leaving={} sent={}", status().instance, source, serverNotice_.requestsPerSecond.value_or(-1), notice->requestsPerSecond.value_or(-1), notice->isLeaving, sentCount_);
+    serverNotice_ = *notice;
+}
+
 void Guard::releaseHeld()
 {
     auto tickets = std::move(held_);
@@ -432,6 +445,7 @@
     if (now >= attempt.deadline)
         return complete(ticket, NotRun{Reason::DeadlineTooNear, {}, false}, false);
     attempt.startedAt = now;
+    ++sentCount_;
     attempt.runningAtStart = ++runningAtServer_;
     admission_.begin(now, ticket);
     attempt.wasSlowed = startPolicy_.slowdownState(now) == SlowdownState::Slowed;
@@ -488,6 +502,8 @@
     if (const auto* response = std::get_if<HttpResponse>(&result)) {
         auto load = response->fields[boost::beast::string_view(names_.load.data(), names_.load.size())];
         updateSlowdownState({load.data(), load.size()});
+        if (response->status != misdirectedRequest)
+            updateNotice("response", *response);
     }
     auto outcome = outcomeOf(attempt, std::move(result));
     const auto* response = std::get_if<ServerResponse>(&outcome);
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 
 namespace balsamreel::Relay {
 
@@ -62,7 +63,7 @@
     , settingsSource_(std::move(settingsSource))
     , incarnation_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
-    , guard_(loop, settings_, codec_.headers, codec_.readLoad, log_)
+    , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
     , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }})
     , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, log_, metrics_)
     , storeCalls_(loop, settings_.store)
@@ -447,6 +448,9 @@
 {
     metrics_.set("balsamreel_open_calls", static_cast<double>(entry_.openCount()));
     metrics_.set("balsamreel_guarded_calls", static_cast<double>(guard_.openCount()));
+    metrics_.set("balsamreel_server_requests", static_cast<double>(guard_.sentCount()));
+    metrics_.set("balsamreel_server_limit_per_second", guard_.serverNotice().requestsPerSecond.value_or(std::numeric_limits<double>::infinity()));
+    metrics_.set("balsamreel_server_leaving", guard_.serverNotice().isLeaving ? 1 : 0);
     metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
     metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
     metrics_.set("balsamreel_store_calls", static_cast<double>(storeCalls_.count()));
