--- /dev/null
+++ b/include/balsamreel/Admission/RequestRateLimiter.h
@@ -0,0 +1,44 @@
+// Keeps the requests that are sent to one server within the rate that the server takes. Performs no I/O; callers pass in
+// the time.
+#pragma once
+
+#include "balsamreel/Support/Clock.h"
+
+#include <optional>
+
+namespace balsamreel::Admission {
+
+/// A token bucket whose last tokens are reserved for urgent requests, so that the least urgent ones are refused first.
+class RequestRateLimiter {
+public:
+    /// Sets the limit in requests per second; null ends it.
+    void setLimit(Support::Instant now, std::optional<double> requestsPerSecond);
+    std::optional<double> limit() const { return limit_; }
+
+    /// Takes room for one request. Priority 0 is the most urgent. Returns false if the limit leaves no room.
+    bool tryTake(Support::Instant now, unsigned priority);
+
+    /// Returns the room of a request that was not sent.
+    void giveBack();
+
+    /// Returns the time until there is room for one request of this priority.
+    Support::Duration timeUntilRoom(Support::Instant now, unsigned priority) const;
+
+    /// Returns after which time a request that was refused should return. Those refused one after the other return one
+    /// after the other, at the rate of the limit.
+    Support::Duration scheduleReturn(Support::Instant now, unsigned priority);
+
+private:
+    double rate() const;
+    double capacity() const;
+    double reserved(unsigned priority) const;
+    double levelAt(Support::Instant now) const;
+    void refill(Support::Instant now);
+
+    std::optional<double> limit_;
+    double level_ = 0; ///< requests that may be sent at once, as of refilledAt_
+    Support::Instant refilledAt_;
+    Support::Instant nextReturn_; ///< when the request that is refused next should return
+};
+
+} // namespace balsamreel::Admission
--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsamreel/Admission/AdmissionController.h"
+#include "balsamreel/Admission/RequestRateLimiter.h"
 #include "balsamreel/Admission/SaturationDetector.h"
 #include "balsamreel/Relay/CompletedAttempts.h"
 #include "balsamreel/Relay/EventLog.h"
@@ -98,12 +99,14 @@
         Instant deadline;
         Instant startedAt;
         std::uint32_t runningAtStart = 0; ///< attempts at the server, including this one
+        bool hasRateRoom = false; ///< it has taken room under the server's limit
         bool wasSlowed = false; ///< whether the server was slowed down when it started
         std::shared_ptr<HttpClientConnection> connection; ///< set once the attempt runs
     };
 
     void refuse(const AttemptKey&, const AttemptRequest&, NotRun, const Done&);
     void applyResolutions(const std::vector<Admission::Resolution>&);
+    void returnRateRoom(const Attempt&);
     void startOrHold(std::uint64_t ticket);
     void start(std::uint64_t ticket);
     void probeSlowdown();
@@ -131,6 +134,7 @@
     EventLog& log_;
     LocalServer server_;
     Admission::AdmissionController admission_;
+    Admission::RequestRateLimiter rateLimiter_;
     Admission::SaturationDetector saturation_;
     PersistedServerState persistedState_;
     bool hasRestoredState_ = false;
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -106,9 +106,10 @@
     CallerLeft,
     NoRoute,
     BadRequest,
-    ShuttingDown };
+    ShuttingDown,
+    RateLimited }; ///< by the rate that the server has named
 
-constexpr Support::NameTable<Reason, 18> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerConnectionLost, "server-broke"}, {Reason::BadResponse, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}}};
+constexpr Support::NameTable<Reason, 19> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerConnectionLost, "server-broke"}, {Reason::BadResponse, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}, {Reason::RateLimited, "rate-limited"}}};
 
 /// The attempt did not run and never will.
 struct NotRun {
--- /dev/null
+++ b/lib/Admission/RequestRateLimiter.cpp
@@ -0,0 +1,102 @@
+#include "balsamreel/Admission/RequestRateLimiter.h"
+
+#include <algorithm>
+
+namespace balsamreel::Admission {
+
+using Support::Duration;
+using Support::Instant;
+
+namespace {
+
+// Only responses tell that a limit has ended, so a server that names a lower rate is sent this many requests per second.
+constexpr double minimumRate = 0.5;
+// The bucket holds what the server takes in this time, and a little more for slow rates.
+constexpr double burstSeconds = 1;
+constexpr double minimumBurst = 2;
+// Share of the bucket that is out of reach for each step of lower urgency.
+constexpr double reservedSharePerPriority = 0.1;
+constexpr unsigned lowestDistinctPriority = 4;
+// Callers that wait for longer rather give up.
+constexpr Duration longestReturn = std::chrono::seconds(1);
+constexpr double microsPerSecond = 1e6;
+
+Duration seconds(double value)
+{
+    return Duration(static_cast<Duration::rep>(value * microsPerSecond));
+}
+
+} // namespace
+
+double RequestRateLimiter::rate() const
+{
+    return std::max(minimumRate, limit_.value_or(0));
+}
+
+double RequestRateLimiter::capacity() const
+{
+    return rate() * burstSeconds + minimumBurst;
+}
+
+double RequestRateLimiter::reserved(unsigned priority) const
+{
+    return (capacity() - 1) * reservedSharePerPriority * std::min(priority, lowestDistinctPriority);
+}
+
+double RequestRateLimiter::levelAt(Instant now) const
+{
+    double elapsed = static_cast<double>(std::max(Duration::zero(), now - refilledAt_).count()) / microsPerSecond;
+    return std::min(capacity(), level_ + elapsed * rate());
+}
+
+void RequestRateLimiter::refill(Instant now)
+{
+    level_ = levelAt(now);
+    refilledAt_ = now;
+}
+
+void RequestRateLimiter::setLimit(Instant now, std::optional<double> requestsPerSecond)
+{
+    if (requestsPerSecond == limit_)
+        return;
+    if (limit_)
+        refill(now);
+    else
+        level_ = 1;
+    limit_ = requestsPerSecond;
+    level_ = std::min(level_, capacity());
+    refilledAt_ = now;
+}
+
+bool RequestRateLimiter::tryTake(Instant now, unsigned priority)
+{
+    if (!limit_)
+        return true;
+    refill(now);
+    if (level_ < 1 + reserved(priority))
+        return false;
+    level_ -= 1;
+    return true;
+}
+
+void RequestRateLimiter::giveBack()
+{
+    if (limit_)
+        level_ = std::min(capacity(), level_ + 1);
+}
+
+Duration RequestRateLimiter::timeUntilRoom(Instant now, unsigned priority) const
+{
+    if (!limit_)
+        return Duration::zero();
+    return seconds(std::max(0.0, 1 + reserved(priority) - levelAt(now)) / rate());
+}
+
+Duration RequestRateLimiter::scheduleReturn(Instant now, unsigned priority)
+{
+    auto wait = std::max(timeUntilRoom(now, priority), std::min(nextReturn_ - now, longestReturn));
+    nextReturn_ = now + wait + seconds(1 / rate());
+    return wait;
+}
+
+} // namespace balsamreel::Admission
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -4,6 +4,7 @@
 #include "balsamreel/Relay/HttpText.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace balsamreel::Relay {
 
@@ -24,6 +25,7 @@
 constexpr std::uint32_t misdirectedRequest = 421;
 constexpr std::uint32_t ok = 200;
 constexpr double microsPerSecond = 1e6;
+constexpr unsigned leastUrgentPriority = std::numeric_limits<unsigned>::max();
 constexpr auto discoveryInterval = std::chrono::milliseconds(200);
 // A departing server may still report that it is healthy. The state persisted by an earlier process of the node shows
 // that it leaves, but the store that holds it may be unavailable, so discovery does not wait longer than this.
@@ -94,8 +96,10 @@
 
 Wire::LoadStamp Guard::loadStamp() const
 {
-    auto load = admission_.load(Support::monotonicNow());
-    return {load.running, load.queued, load.limit, static_cast<std::uint32_t>(load.expectedWait.count())};
+    auto now = Support::monotonicNow();
+    auto load = admission_.load(now);
+    auto wait = std::max(load.expectedWait, rateLimiter_.timeUntilRoom(now, leastUrgentPriority));
+    return {load.running, load.queued, load.limit, static_cast<std::uint32_t>(wait.count())};
 }
 
 void Guard::onServerChange(const ServerStatus& before)
@@ -115,6 +119,7 @@
         idleConnections_.clear();
         startPolicy_.reset();
         serverNotice_ = {};
+        rateLimiter_ = {};
     }
     onStatusChange();
 }
@@ -254,6 +259,9 @@
         return refuse(key, request, {Reason::ServerLeaving, {}, false}, done);
     if (ready->instance != request.instance)
         return refuse(key, request, {Reason::WrongServer, {}, false}, done);
+    // Waiting would not help: the limit leaves room for a certain number of requests only.
+    if (!rateLimiter_.tryTake(now, request.priority))
+        return refuse(key, request, {Reason::RateLimited, rateLimiter_.scheduleReturn(now, request.priority), false}, done);
 
     Admission::Ticket ticket;
     ticket.id = nextTicket_++;
@@ -261,9 +269,11 @@
     ticket.priority = request.priority;
     ticket.deadline = queueDeadline_.deadline(now, request);
     auto decision = admission_.submit(now, ticket);
-    if (const auto* refused = std::get_if<Admission::Refused>(&decision))
+    if (const auto* refused = std::get_if<Admission::Refused>(&decision)) {
+        rateLimiter_.giveBack();
         return refuse(key, request, {reasonOf(refused->reason), refused->expectedWait, false}, done);
-    attempts_[ticket.id] = std::make_unique<Attempt>(Attempt{.key = key, .request = request, .done = std::move(done), .submittedAt = now, .deadline = now + Duration(request.timeoutMicros), .startedAt = now});
+    }
+    attempts_[ticket.id] = std::make_unique<Attempt>(Attempt{.key = key, .request = request, .done = std::move(done), .submittedAt = now, .deadline = now + Duration(request.timeoutMicros), .startedAt = now, .hasRateRoom = rateLimiter_.limit().has_value()});
     tickets_[key] = ticket.id;
     if (std::holds_alternative<Admission::Admitted>(decision))
         startOrHold(ticket.id);
@@ -285,10 +295,17 @@
             continue;
         const auto& attempt = *node.mapped();
         tickets_.erase(attempt.key);
+        returnRateRoom(attempt);
         refuse(attempt.key, attempt.request, {reasonOf(refused.reason), refused.expectedWait, false}, attempt.done);
     }
 }
 
+void Guard::returnRateRoom(const Attempt& attempt)
+{
+    if (attempt.hasRateRoom && !attempt.connection)
+        rateLimiter_.giveBack();
+}
+
 std::shared_ptr<HttpClientConnection> Guard::takeConnection(bool isIdempotent, Instant now)
 {
     std::erase_if(idleConnections_, [now](const auto& connection) { return !connection->isReusable(now); });
@@ -420,6 +437,7 @@
         return;
     log_.line(LogClass::Notable, "server-notice", "instance={} source={} limit_before={} limit={} leaving={} sent={}", status().instance, source, serverNotice_.requestsPerSecond.value_or(-1), notice->requestsPerSecond.value_or(-1), notice->isLeaving, sentCount_);
     serverNotice_ = *notice;
+    rateLimiter_.setLimit(Support::monotonicNow(), notice->requestsPerSecond);
 }
 
 void Guard::releaseHeld()
@@ -430,8 +448,8 @@
         startOrHold(ticket);
 }
 
-// By the time an attempt is admitted, the server may have begun to leave or the deadline may have passed. Both are
-// checked again right before the request is sent.
+// By the time an attempt is admitted, the server may have begun to leave or named a limit, or the deadline may have
+// passed. These are checked again right before the request is sent.
 void Guard::start(std::uint64_t ticket)
 {
     auto found = attempts_.find(ticket);
@@ -444,6 +462,9 @@
         return complete(ticket, NotRun{Reason::ServerLeaving, {}, false}, false);
     if (now >= attempt.deadline)
         return complete(ticket, NotRun{Reason::DeadlineTooNear, {}, false}, false);
+    // The server has named its limit after the attempt was admitted.
+    if (!attempt.hasRateRoom && !rateLimiter_.tryTake(now, attempt.request.priority))
+        return complete(ticket, NotRun{Reason::RateLimited, rateLimiter_.scheduleReturn(now, attempt.request.priority), false}, false);
     attempt.startedAt = now;
     ++sentCount_;
     attempt.runningAtStart = ++runningAtServer_;
@@ -517,6 +538,7 @@
         return;
     const auto& attempt = *node.mapped();
     tickets_.erase(attempt.key);
+    returnRateRoom(attempt);
     auto now = Support::monotonicNow();
     auto next = attempt.connection ? admission_.finish(now, ticket, hasSucceeded) : admission_.withdraw(now, ticket);
     if (attempt.connection)
