--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -71,12 +71,15 @@
     void setHealthPath(const std::string& path);
 
     ServerStatus status() const;
+
+    /// Whether the last server here has announced or stated that it leaves, and no other has taken its place.
+    bool hasServerLeft() const { return !server_.ready() && !persistedState_.departedInstance.empty(); }
     bool isSlowed() const { return isSlowed_; }
     Wire::LoadStamp loadStamp() const;
     std::size_t openCount() const { return attempts_.size(); }
 
-    /// What the current server process has stated last.
-    const ServerNotice& serverNotice() const { return serverNotice_; }
+    /// The limit that the server has named, in requests per second.
+    std::optional<double> rateLimit() const { return rateLimiter_.limit(); }
 
     /// Number of requests sent to the server, without health probes.
     std::uint64_t sentCount() const { return sentCount_; }
@@ -94,6 +97,7 @@
     struct Attempt {
         AttemptKey key;
         AttemptRequest request;
+        ServerProcess process; ///< the server that runs it
         Done done; ///< empty if nobody waits for the outcome
         Instant submittedAt;
         Instant deadline;
@@ -114,7 +118,11 @@
     void discover();
     void onDiscoveryResponse(const HttpResult&);
     bool updateSlowdownState(std::string_view load); ///< false if the load header is malformed
-    void updateNotice(std::string_view source, const HttpResponse&);
+    ServerProcess currentProcess() const;
+    bool isCurrent(const ServerProcess&) const;
+    void updateNotice(std::string_view source, const ServerProcess&, const HttpResponse&);
+    void updateNoticeFromHealth(const HttpResponse&);
+    void handleLeaveStatement(const ServerProcess&);
     void releaseHeld();
     void onServerResponse(std::uint64_t ticket, HttpResult);
     void complete(std::uint64_t ticket, const Outcome&, bool hasSucceeded);
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -134,6 +134,12 @@
     std::uint32_t slowdownPercent = 100; ///< ratio of the current to the usual service time; 100 = usual
 };
 
+/// Identifies one run of a server. Instance ids are used again.
+struct ServerProcess {
+    std::string instance;
+    std::int64_t startMillis = 0; ///< wall-clock time of its start; 0: not known yet
+};
+
 /// What a server states with a response about the requests that it takes.
 struct ServerNotice {
     std::optional<double> requestsPerSecond; ///< limit on the requests of all nodes together; null: no limit
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -127,7 +127,6 @@
     Instant lastPoll_;
     bool publishedFollowing_ = false; ///< as last published to the peers
     bool isShuttingDown_ = false;
-    bool hasServerLeft_ = false; ///< the server beside this node has announced that it is leaving
 };
 
 } // namespace balsamreel::Relay
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -214,10 +214,13 @@
     auto instance = value(names_.instance);
     if (instance.empty() || instance == persistedState_.departedInstance || !load || load->slots == 0)
         return;
+    auto notice = readers_.notice(response->fields);
+    if (notice && notice->isLeaving)
+        return handleLeaveStatement({instance, 0});
     auto before = status();
     server_.discover(instance, load->slots);
     onServerChange(before);
-    updateNotice("health", *response);
+    updateNoticeFromHealth(*response);
 }
 
 void Guard::handleLeave(const std::string& instance, std::optional<std::int64_t> processStartMillis)
@@ -398,7 +401,7 @@
     probeTimer_.cancel();
     const auto* response = std::get_if<HttpResponse>(&result);
     if (response) {
-        updateNotice("health", *response);
+        updateNoticeFromHealth(*response);
         auto load = response->fields[boost::beast::string_view(names_.load.data(), names_.load.size())];
         if (!updateSlowdownState({load.data(), load.size()}))
             startPolicy_.setUnobservable();
@@ -429,15 +432,46 @@
     return true;
 }
 
+ServerProcess Guard::currentProcess() const
+{
+    const auto* current = server_.current();
+    return current ? ServerProcess{current->instance, current->processStartMillis} : ServerProcess();
+}
+
+bool Guard::isCurrent(const ServerProcess& process) const
+{
+    auto current = currentProcess();
+    bool mayHaveStartedTogether = process.startMillis == current.startMillis || process.startMillis == 0 || current.startMillis == 0;
+    return !process.instance.empty() && process.instance == current.instance && mayHaveStartedTogether;
+}
+
 // Every response of the server repeats its limit while the limit holds, so a response without one ends it.
-void Guard::updateNotice(std::string_view source, const HttpResponse& response)
+void Guard::updateNotice(std::string_view source, const ServerProcess& process, const HttpResponse& response)
 {
     auto notice = readers_.notice(response.fields);
-    if (!notice || *notice == serverNotice_)
+    if (!notice || *notice == serverNotice_ || !isCurrent(process))
         return;
-    log_.line(LogClass::Notable, "server-notice", "instance={} source={} limit_before={} limit={} leaving={} sent={}", status().instance, source, serverNotice_.requestsPerSecond.value_or(-1), notice->requestsPerSecond.value_or(-1), notice->isLeaving, sentCount_);
+    log_.line(LogClass::Notable, "server-notice", "instance={} source={} limit_before={} limit={} leaving={} sent={}", process.instance, source, serverNotice_.requestsPerSecond.value_or(-1), notice->requestsPerSecond.value_or(-1), notice->isLeaving, sentCount_);
     serverNotice_ = *notice;
     rateLimiter_.setLimit(Support::monotonicNow(), notice->requestsPerSecond);
+    if (notice->isLeaving)
+        handleLeaveStatement(process);
+}
+
+void Guard::updateNoticeFromHealth(const HttpResponse& response)
+{
+    auto instance = response.fields[boost::beast::string_view(names_.instance.data(), names_.instance.size())];
+    auto process = currentProcess();
+    if (std::string_view(instance.data(), instance.size()) == process.instance)
+        updateNotice("health", process, response);
+}
+
+// A server may say first, or only, in its responses that it leaves. If it has not announced its start yet, it started
+// before now.
+void Guard::handleLeaveStatement(const ServerProcess& process)
+{
+    constexpr std::int64_t microsPerMilli = 1000;
+    handleLeave(process.instance, process.startMillis > 0 ? process.startMillis : Support::wallMicros() / microsPerMilli);
 }
 
 void Guard::releaseHeld()
@@ -466,6 +500,7 @@
     if (!attempt.hasRateRoom && !rateLimiter_.tryTake(now, attempt.request.priority))
         return complete(ticket, NotRun{Reason::RateLimited, rateLimiter_.scheduleReturn(now, attempt.request.priority), false}, false);
     attempt.startedAt = now;
+    attempt.process = currentProcess();
     ++sentCount_;
     attempt.runningAtStart = ++runningAtServer_;
     admission_.begin(now, ticket);
@@ -517,15 +552,20 @@
     auto found = attempts_.find(ticket);
     if (found == attempts_.end())
         return;
-    auto& attempt = *found->second;
-    if (attempt.connection->isReusable(Support::monotonicNow()))
-        idleConnections_.push_back(attempt.connection);
+    if (found->second->connection->isReusable(Support::monotonicNow()))
+        idleConnections_.push_back(found->second->connection);
     if (const auto* response = std::get_if<HttpResponse>(&result)) {
+        auto process = found->second->process;
         auto load = response->fields[boost::beast::string_view(names_.load.data(), names_.load.size())];
         updateSlowdownState({load.data(), load.size()});
         if (response->status != misdirectedRequest)
-            updateNotice("response", *response);
+            updateNotice("response", process, *response);
+        // The callbacks may have ended the attempt.
+        found = attempts_.find(ticket);
+        if (found == attempts_.end())
+            return;
     }
+    auto& attempt = *found->second;
     auto outcome = outcomeOf(attempt, std::move(result));
     const auto* response = std::get_if<ServerResponse>(&outcome);
     complete(ticket, outcome, response && response->status < 500);
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -221,8 +221,6 @@
     bool isAccepted = guard_.handleAnnouncement(announcement);
     if (!isAccepted)
         log_.line(LogClass::Notable, "announcement-ignored", "instance={} service={} address={} sequence={} born={}", announcement.instance, announcement.service, announcement.address.text(), announcement.sequence, announcement.processStartMillis);
-    else
-        hasServerLeft_ = announcement.state == ServerState::Draining;
     return codec_.acknowledge();
 }
 
@@ -230,7 +228,6 @@
 {
     log_.line(LogClass::Notable, "server-leaves", "instance={}", leave.instance);
     guard_.handleLeave(leave.instance, leave.processStartMillis);
-    hasServerLeft_ = true;
     return codec_.acknowledge();
 }
 
@@ -313,9 +310,9 @@
         return;
     isShuttingDown_ = true;
     shutdownSince_ = Support::monotonicNow();
-    log_.line(LogClass::Notable, "stop", "open_calls={} guarded={} server_gone={}", entry_.openCount(), guard_.openCount(), hasServerLeft_);
+    log_.line(LogClass::Notable, "stop", "open_calls={} guarded={} server_gone={}", entry_.openCount(), guard_.openCount(), guard_.hasServerLeft());
     guard_.close();
-    if (hasServerLeft_)
+    if (guard_.hasServerLeft())
         directory_.remove();
     checkShutdown();
 }
@@ -449,8 +446,8 @@
     metrics_.set("balsamreel_open_calls", static_cast<double>(entry_.openCount()));
     metrics_.set("balsamreel_guarded_calls", static_cast<double>(guard_.openCount()));
     metrics_.set("balsamreel_server_requests", static_cast<double>(guard_.sentCount()));
-    metrics_.set("balsamreel_server_limit_per_second", guard_.serverNotice().requestsPerSecond.value_or(std::numeric_limits<double>::infinity()));
-    metrics_.set("balsamreel_server_leaving", guard_.serverNotice().isLeaving ? 1 : 0);
+    metrics_.set("balsamreel_server_limit_per_second", guard_.rateLimit().value_or(std::numeric_limits<double>::infinity()));
+    metrics_.set("balsamreel_server_leaving", guard_.hasServerLeft() ? 1 : 0);
     metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
     metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
     metrics_.set("balsamreel_store_calls", static_cast<double>(storeCalls_.count()));
