--- a/include/balsamreel/Admission/AdmissionController.h
+++ b/include/balsamreel/Admission/AdmissionController.h
@@ -31,6 +31,7 @@
     std::uint32_t limit = 0;
     std::uint32_t runningLong = 0;
     std::uint32_t longLimit = 0;
+    Support::Duration typicalService{}; ///< service time of a call in the short lane
     Support::Duration expectedWait{}; ///< of a new call in the short lane with the lowest rank
 };
 
--- a/include/balsamreel/Admission/RequestRateLimiter.h
+++ b/include/balsamreel/Admission/RequestRateLimiter.h
@@ -4,6 +4,7 @@
 
 #include "balsamreel/Support/Clock.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace balsamreel::Admission {
@@ -15,6 +16,9 @@
     void setLimit(Support::Instant now, std::optional<double> requestsPerSecond);
     std::optional<double> limit() const { return limit_; }
 
+    /// Returns how many requests of this service time run at once at the limit, at least one; null without a limit.
+    std::optional<std::uint32_t> concurrency(Support::Duration serviceTime) const;
+
     /// Takes room for one request. Priority 0 is the most urgent. Returns false if the limit leaves no room.
     bool tryTake(Support::Instant now, unsigned priority);
 
--- a/lib/Admission/AdmissionController.cpp
+++ b/lib/Admission/AdmissionController.cpp
@@ -267,6 +267,7 @@
     load.limit = limiter_.limit();
     load.runningLong = runningLong_;
     load.longLimit = longLimit();
+    load.typicalService = micros(classifier_.typicalMicros());
     if (!mayRun(Lane::Short))
         load.expectedWait = waitAfter(queue_.work(Lane::Short), Lane::Short, classifier_.typicalMicros());
     return load;
--- a/lib/Admission/RequestRateLimiter.cpp
+++ b/lib/Admission/RequestRateLimiter.cpp
@@ -1,6 +1,7 @@
 #include "balsamreel/Admission/RequestRateLimiter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace balsamreel::Admission {
 
@@ -68,6 +69,14 @@
     refilledAt_ = now;
 }
 
+std::optional<std::uint32_t> RequestRateLimiter::concurrency(Duration serviceTime) const
+{
+    if (!limit_)
+        return std::nullopt;
+    double running = rate() * static_cast<double>(serviceTime.count()) / microsPerSecond;
+    return static_cast<std::uint32_t>(std::max(1.0, std::ceil(running)));
+}
+
 bool RequestRateLimiter::tryTake(Instant now, unsigned priority)
 {
     if (!limit_)
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -99,7 +99,8 @@
     auto now = Support::monotonicNow();
     auto load = admission_.load(now);
     auto wait = std::max(load.expectedWait, rateLimiter_.timeUntilRoom(now, leastUrgentPriority));
-    return {load.running, load.queued, load.limit, static_cast<std::uint32_t>(wait.count())};
+    auto limit = std::min(load.limit, rateLimiter_.concurrency(load.typicalService).value_or(load.limit));
+    return {load.running, load.queued, limit, static_cast<std::uint32_t>(wait.count())};
 }
 
 void Guard::onServerChange(const ServerStatus& before)
--- a/unittests/Admission/RequestRateLimiterTest.cpp
+++ b/unittests/Admission/RequestRateLimiterTest.cpp
@@ -125,6 +125,15 @@
         EXPECT_TRUE(limiter.tryTake(instant + 1ms, 1));
 }
 
+TEST(RequestRateLimiter, TellsHowManyRequestsRunAtOnceAtTheLimit)
+{
+    RequestRateLimiter limiter;
+    EXPECT_FALSE(limiter.concurrency(100ms));
+    limiter.setLimit(Instant(1h), 25);
+    EXPECT_EQ(limiter.concurrency(100ms), 3U);
+    EXPECT_EQ(limiter.concurrency(Duration::zero()), 1U);
+}
+
 TEST(RequestRateLimiter, RoomOfARequestThatWasNotSentIsUsedByAnother)
 {
     RequestRateLimiter limiter;
