--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -67,6 +67,7 @@
         std::vector<Balance::ServerId> triedServers;
         unsigned attemptCount = 0; ///< attempts sent to guards
         unsigned serverAttemptCount = 0; ///< attempts that may have reached a server
+        std::optional<Duration> shortestWait; ///< that a guard expects before it has capacity
         bool mayHaveRun = false;
         bool ignoresSlowdown = false; ///< all servers were found slowed down; the next guard must not refuse for that reason
         std::optional<ServerResponse> errorResponse; ///< a server's error response, returned unless a retry gets a better one
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -246,6 +246,8 @@
 // attempt that has reached a server.
 void Entry::onNotRun(const CallPointer& call, const NotRun& refusal)
 {
+    if (refusal.expectedWait > Duration::zero())
+        call->shortestWait = std::min(refusal.expectedWait, call->shortestWait.value_or(refusal.expectedWait));
     if (refusal.hasReachedServer) {
         ++call->serverAttemptCount;
         if (!mayRetry(*call))
@@ -292,7 +294,7 @@
         return fail(call, refusal.reason, badGateway);
     ServerResponse response;
     response.status = serviceUnavailable;
-    auto wait = std::max(shortestRetryAfter, refusal.expectedWait);
+    auto wait = std::max(shortestRetryAfter, call->shortestWait.value_or(refusal.expectedWait));
     wait += Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * retryAfterJitter * random_.fraction()));
     response.headers.push_back({"Retry-After", secondsText(wait)});
     finish(call, response, refusal.reason);
