--- a/unittests/Admission/RequestRateLimiterTest.cpp
+++ b/unittests/Admission/RequestRateLimiterTest.cpp
@@ -118,9 +118,9 @@
     RequestRateLimiter limiter;
     Instant now(1h);
     limiter.setLimit(now, 20);
-    std::vector<Instant> returns;
-    for (int refused = 0; refused < 15; ++refused)
-        returns.push_back(now + limiter.scheduleReturn(now, 1));
+    std::vector<Instant> returns(15);
+    for (auto& instant : returns)
+        instant = now + limiter.scheduleReturn(now, 1);
     for (auto instant : returns)
         EXPECT_TRUE(limiter.tryTake(instant + 1ms, 1));
 }
