--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -224,10 +224,15 @@
     updateNoticeFromHealth(*response);
 }
 
+// A process whose start is not known has started before now, so its announcements that are still under way are outdated.
 void Guard::handleLeave(const std::string& instance, std::optional<std::int64_t> processStartMillis)
 {
+    constexpr std::int64_t microsPerMilli = 1000;
     auto before = status();
-    server_.handleLeave(instance, processStartMillis);
+    auto current = currentProcess();
+    bool isStartKnown = current.instance == instance && current.startMillis > 0;
+    auto latestStart = isStartKnown ? current.startMillis : Support::wallMicros() / microsPerMilli;
+    server_.handleLeave(instance, processStartMillis.value_or(latestStart));
     onServerChange(before);
     setPersistedState({persistedState_.lastSlotVerdict, instance});
 }
@@ -467,12 +472,10 @@
         updateNotice("health", process, response);
 }
 
-// A server may say first, or only, in its responses that it leaves. If it has not announced its start yet, it started
-// before now.
+// A server may say first, or only, in its responses that it leaves.
 void Guard::handleLeaveStatement(const ServerProcess& process)
 {
-    constexpr std::int64_t microsPerMilli = 1000;
-    handleLeave(process.instance, process.startMillis > 0 ? process.startMillis : Support::wallMicros() / microsPerMilli);
+    handleLeave(process.instance, process.startMillis > 0 ? std::optional(process.startMillis) : std::nullopt);
 }
 
 void Guard::releaseHeld()
