--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <iostream>
+#include <netinet/tcp.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
@@ -25,6 +26,10 @@
 
 constexpr auto heartbeatInterval = std::chrono::milliseconds(1500);
 constexpr std::size_t relayBytes = 65536;
+constexpr int linkWindowBytes = 65536;
+constexpr int ethernetSegmentBytes = 1460;
+constexpr double bytesPerMegabit = 1e6 / 8;
+constexpr auto maximumOversleep = std::chrono::milliseconds(50); // a sleep that lasts too long does not slow down the link
 
 std::mutex processesMutex;
 std::set<pid_t> processes;
@@ -334,7 +339,9 @@
         onRun(id);
     std::this_thread::sleep_until(std::min(std::chrono::steady_clock::now() + work, arrivedAt + timeout));
     bool isInTime = std::chrono::steady_clock::now() < arrivedAt + timeout;
-    auto message = response(isInTime ? 200 : 504, "answer to " + id);
+    auto body = "answer to " + id;
+    body.resize(std::max(body.size(), bodyBytes), '.');
+    auto message = response(isInTime ? 200 : 504, body);
     message.set("Balsamreel-Reply-Stamp", "proof-of-" + id);
     record_.line("ran id=" + id + " instance=" + options_.instance + " status=" + std::to_string(message.result_int()));
     std::scoped_lock lock(mutex_);
@@ -434,6 +441,62 @@
     cutNode_.clear();
 }
 
+CallerLink::CallerLink(const Address& listen, const Address& node, double megabitsPerSecond)
+    : node_(node)
+    , bytesPerSecond_(megabitsPerSecond * bytesPerMegabit)
+{
+    serveConnections(listen, [this](Socket socket) { relay(std::move(socket)); });
+}
+
+// The segment size and the receive buffer are those of an Ethernet link; the ones of the loopback interface would hide it.
+void CallerLink::relay(Socket near) const
+{
+    auto caller = std::make_shared<Socket>(std::move(near));
+    auto far = std::make_shared<Socket>(loop());
+    boost::system::error_code error;
+    far->open(tcp::v4(), error);
+    far->set_option(boost::asio::socket_base::receive_buffer_size(linkWindowBytes), error);
+    far->set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(ethernetSegmentBytes), error);
+    far->connect(endpointOf(node_), error);
+    if (error)
+        return resetConnection(*caller);
+    std::thread([this, far, caller] { copyLimited(*far, *caller); }).detach();
+    std::string chunk(relayBytes, '\0');
+    while (!error) {
+        auto size = caller->read_some(boost::asio::buffer(chunk), error);
+        if (!error)
+            boost::asio::write(*far, boost::asio::buffer(chunk.data(), size), error);
+    }
+    far->shutdown(boost::asio::socket_base::shutdown_send, error);
+}
+
+// Bytes wait for their turn on the link before they are passed on.
+void CallerLink::copyLimited(Socket& from, Socket& to) const
+{
+    std::string chunk(ethernetSegmentBytes, '\0');
+    boost::system::error_code error;
+    for (;;) {
+        auto size = from.read_some(boost::asio::buffer(chunk), error);
+        if (error)
+            break;
+        auto duration = std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(static_cast<double>(size) / bytesPerSecond_));
+        std::chrono::steady_clock::time_point turn;
+        {
+            std::scoped_lock lock(budget_->mutex);
+            turn = std::max(budget_->freeAt, std::chrono::steady_clock::now() - maximumOversleep) + duration;
+            budget_->freeAt = turn;
+        }
+        std::this_thread::sleep_until(turn);
+        boost::asio::write(to, boost::asio::buffer(chunk.data(), size), error);
+        if (error)
+            break;
+    }
+    bool isReset = error != boost::asio::error::eof;
+    if (isReset)
+        return resetConnection(to);
+    to.shutdown(boost::asio::socket_base::shutdown_send, error);
+}
+
 Node::Node(Options options)
     : options_(std::move(options))
 {
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -120,6 +120,9 @@
     /// Number of times that each request has started here.
     std::map<std::string, unsigned> runs();
 
+    /// Size of the body of each answer, filled up with dots.
+    std::size_t bodyBytes = 0;
+
     /// Called at the start of each run.
     std::function<void(const std::string& id)> onRun;
 
@@ -173,6 +176,25 @@
     std::string cutNode_;
 };
 
+/// The link of a VM to its callers: relays connections to the node and limits the rate of what the node sends on all of them.
+class CallerLink {
+public:
+    CallerLink(const Address& listen, const Address& node, double megabitsPerSecond);
+
+private:
+    void relay(Socket) const;
+    void copyLimited(Socket& from, Socket& to) const;
+
+    struct Budget {
+        std::mutex mutex;
+        std::chrono::steady_clock::time_point freeAt;
+    };
+
+    Address node_;
+    double bytesPerSecond_;
+    std::shared_ptr<Budget> budget_ = std::make_shared<Budget>();
+};
+
 /// A VM: the addresses and the process of its node.
 class Node {
 public:
