--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -13,6 +15,7 @@
 #include <iostream>
 #include <netinet/tcp.h>
 #include <spawn.h>
+#include <sstream>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -25,6 +28,7 @@
 using boost::asio::ip::tcp;
 
 constexpr auto heartbeatInterval = std::chrono::milliseconds(1500);
+constexpr auto longestRun = std::chrono::seconds(115);
 constexpr std::size_t relayBytes = 65536;
 constexpr int linkWindowBytes = 65536;
 constexpr int ethernetSegmentBytes = 1460;
@@ -278,7 +282,7 @@
     , record_(record)
     , bornMillis_(std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count())
 {
-    serveHttp(options_.address, [this](const HttpRequest& request) { return handle(request); });
+    serveConnections(options_.address, [this](Socket socket) { serve(std::move(socket)); });
     std::thread([this] { announce(); }).detach();
 }
 
@@ -291,7 +295,58 @@
 // Running and waiting requests, slots, and the usual time that work takes. Called with the mutex locked.
 std::string Server::load()
 {
-    return std::to_string(std::min(running_, options_.slots)) + ",0," + std::to_string(options_.slots) + ",100";
+    return std::to_string(std::min(running_, options_.slots)) + ",0," + std::to_string(options_.slots) + "," + std::to_string(100 * slowness_);
+}
+
+void Server::setFaults(const Faults& faults)
+{
+    std::scoped_lock lock(mutex_);
+    faults_ = faults;
+}
+
+void Server::startNoise(const Noise& noise)
+{
+    std::thread([this, noise] {
+        for (;;) {
+            {
+                bool isSlow = draw(noise.share);
+                std::scoped_lock lock(mutex_);
+                slowness_ = isSlow ? noise.factor : 1;
+            }
+            std::this_thread::sleep_for(noise.interval);
+        }
+    }).detach();
+}
+
+bool Server::draw(double share)
+{
+    std::scoped_lock lock(mutex_);
+    return std::bernoulli_distribution(share)(random_);
+}
+
+// A late copy of an answer is sent when the next request has arrived on the connection, before the answer to it.
+void Server::serve(Socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    std::string lateCopy;
+    for (;;) {
+        HttpRequest request;
+        boost::system::error_code error;
+        http::read(socket, buffer, request, error);
+        if (error)
+            return;
+        if (!lateCopy.empty())
+            boost::asio::write(socket, boost::asio::buffer(lateCopy), error);
+        lateCopy.clear();
+        std::ostringstream text;
+        text << handle(request);
+        auto bytes = std::move(text).str();
+        if (request.target() != "/health" && draw(faults_.lateCopyShare))
+            lateCopy = bytes;
+        boost::asio::write(socket, boost::asio::buffer(bytes), error);
+        if (error)
+            return;
+    }
 }
 
 HttpResponse Server::handle(const HttpRequest& request)
@@ -307,6 +362,10 @@
     } else if (!expected.empty() && expected != options_.instance) {
         message = response(421, "");
         message.set("Balsamreel-Not-Run", "1");
+    } else if (draw(faults_.shedShare)) {
+        record_.line("shed id=" + id + " instance=" + options_.instance);
+        message = response(503, "");
+        message.set("Balsamreel-Not-Run", "1");
     } else
         message = run(request, id);
     if (!id.empty())
@@ -333,6 +392,7 @@
         }
         ++running_;
         ++runs_[id];
+        work *= slowness_;
     }
     record_.line("run id=" + id + " instance=" + options_.instance + " caller=" + headerOf(request, "Balsamreel-Caller") + " timeout_ms=" + std::to_string(timeout.count()));
     if (onRun)
@@ -560,6 +620,111 @@
     return false;
 }
 
+Arguments readArguments(int count, char** values)
+{
+    if (count != 4) {
+        std::cerr << "usage: PROGRAM FOLDER RECORD" << std::endl;
+        finish(2);
+    }
+    return {values[1], values[2], values[3]};
+}
+
+Deployment::Deployment(const Arguments& arguments, const std::string& config, const std::vector<Vm>& vms, unsigned slots, bool hasLinks)
+    : record_(arguments.record)
+{
+    std::thread([] {
+        std::this_thread::sleep_for(longestRun);
+        std::cerr << "the scenario takes too long" << std::endl;
+        finish(2);
+    }).detach();
+    constexpr unsigned portsPerVm = 9;
+    constexpr unsigned storePort = 7;
+    constexpr unsigned freePort = 8;
+    constexpr unsigned firstHost = 11;
+    std::vector<std::string> hosts;
+    for (std::size_t index = 0; index < vms.size(); ++index)
+        hosts.push_back("127.0.0." + std::to_string(firstHost + index));
+    auto port = findFreePorts(hosts, portsPerVm);
+    Address storeAddress{hosts.front(), static_cast<std::uint16_t>(port + storePort)};
+    freeAddress_ = {hosts.front(), static_cast<std::uint16_t>(port + freePort)};
+    store_ = std::make_unique<Store>(storeAddress);
+    store_->put("config", "main", config);
+    for (std::size_t index = 0; index < vms.size(); ++index) {
+        const auto& vm = vms[index];
+        auto number = std::to_string(index + 1);
+        Node::Options options{"sidecar-" + vm.zone + "-" + number, vm.service, vm.zone, hosts[index], port, storeAddress, arguments.folder, arguments.program, hasLinks};
+        options.folder.append("/").append(options.name);
+        nodes_.push_back(std::make_unique<Node>(options));
+        auto& node = *nodes_.back();
+        if (hasLinks)
+            links_.add(options.name, node.announcedPeer(), node.actualPeer());
+        servers_.push_back(std::make_unique<Server>(Server::Options{"i-" + number, vm.service, vm.zone, node.server(), node.control(), slots}, record_));
+        node.start();
+    }
+}
+
+void Deployment::waitUntilReady()
+{
+    constexpr auto startTimeout = std::chrono::seconds(10);
+    constexpr auto meetingTime = std::chrono::seconds(4);
+    for (const auto& node : nodes_) {
+        if (node->waitUntilReady(startTimeout))
+            continue;
+        std::cerr << node->options().name << " is not ready" << std::endl;
+        finish(2);
+    }
+    std::this_thread::sleep_for(meetingTime);
+}
+
+std::map<std::string, unsigned> Deployment::runs()
+{
+    std::map<std::string, unsigned> runs;
+    for (const auto& server : servers_) {
+        for (const auto& [id, count] : server->runs())
+            runs[id] += count;
+    }
+    return runs;
+}
+
+void Callers::send(const Node& node, const std::string& id, Millis work, Millis timeout)
+{
+    deployment_.record().line("sent id=" + id + " node=" + node.options().name + " timeout_ms=" + std::to_string(timeout.count()));
+    auto answer = sendAndReceive(node.caller(), makeRequest(http::verb::post, "/once/" + std::to_string(work.count()), id, timeout));
+    deployment_.record().line("answered id=" + id + " status=" + std::to_string(answer.status));
+    std::scoped_lock lock(mutex_);
+    statuses_[id] = answer.status;
+}
+
+int Callers::check()
+{
+    constexpr std::array<unsigned, 4> notRunStatuses{408, 421, 429, 503};
+    auto runs = deployment_.runs();
+    auto& record = deployment_.record();
+    unsigned twice = 0;
+    unsigned falselyRefused = 0;
+    unsigned served = 0;
+    std::scoped_lock lock(mutex_);
+    for (const auto& [id, status] : statuses_) {
+        auto details = " id=" + id + " runs=" + std::to_string(runs[id]) + " status=" + std::to_string(status);
+        bool isRefused = std::ranges::find(notRunStatuses, status) != notRunStatuses.end();
+        served += status == 200 ? 1 : 0;
+        if (runs[id] > 1) {
+            ++twice;
+            record.line("broken rule=TWICE" + details);
+        }
+        if (isRefused && runs[id] > 0) {
+            ++falselyRefused;
+            record.line("broken rule=REFUSED" + details);
+        }
+    }
+    auto summary = "requests=" + std::to_string(statuses_.size()) + " served=" + std::to_string(served) + " twice=" + std::to_string(twice) + " falsely_refused=" + std::to_string(falselyRefused);
+    record.line(summary);
+    std::cout << summary << std::endl;
+    if (served == 0)
+        return 2;
+    return twice + falselyRefused > 0 ? 1 : 0;
+}
+
 std::uint16_t findFreePorts(const std::vector<std::string>& hosts, unsigned count)
 {
     constexpr unsigned first = 12000; // below the range of the ports of outgoing connections
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -120,6 +121,21 @@
     /// Number of times that each request has started here.
     std::map<std::string, unsigned> runs();
 
+    /// Faults of the server. Change them before requests arrive, or from the thread that made the server.
+    struct Faults {
+        double shedShare = 0; ///< share of the requests that it rejects as not run
+        double lateCopyShare = 0; ///< share of the answers that it sends again where the next answer is expected
+    };
+    void setFaults(const Faults&);
+
+    /// Other work on the VM makes work that starts in a share of the time take longer, for an interval each.
+    struct Noise {
+        double share = 0;
+        unsigned factor = 1;
+        Millis interval{150};
+    };
+    void startNoise(const Noise&);
+
     /// Size of the body of each answer, filled up with dots.
     std::size_t bodyBytes = 0;
 
@@ -129,10 +145,12 @@
     const Options& options() const { return options_; }
 
 private:
+    void serve(Socket);
     HttpResponse handle(const HttpRequest&);
     HttpResponse run(const HttpRequest&, const std::string& id);
     void announce();
     std::string load();
+    bool draw(double share);
 
     Options options_;
     Record& record_;
@@ -141,6 +159,9 @@
     unsigned running_ = 0;
     std::map<std::string, unsigned> runs_;
     std::int64_t bornMillis_;
+    Faults faults_;
+    std::mt19937 random_{std::random_device{}()};
+    unsigned slowness_ = 1; ///< factor on the time that work takes that starts now
 };
 
 /// The links between the nodes: relays the connections to each node and knows which node has opened them.
@@ -207,6 +228,7 @@
         Address store;
         std::string folder; ///< for its settings file and its log
         std::string program;
+        bool isBehindLink = false; ///< Links relays its connections with the other nodes
     };
 
     explicit Node(Options);
@@ -216,7 +238,7 @@
     Address control() const { return at(2); }
     Address server() const { return at(3); }
     Address announcedPeer() const { return at(4); }
-    Address actualPeer() const { return at(6); } // the metrics are at the port between
+    Address actualPeer() const { return at(options_.isBehindLink ? 6 : 4); } // the metrics are at the port between
     const Options& options() const { return options_; }
 
     void start();
@@ -234,6 +256,69 @@
     pid_t pid_ = -1;
 };
 
+/// Arguments of a scenario's program: the node's program, a folder for settings and logs, and the path of the record.
+struct Arguments {
+    std::string program;
+    std::string folder;
+    std::string record;
+};
+Arguments readArguments(int count, char** values);
+
+/// A small deployment: VMs with a node and a server each, and the store. Starts all of it.
+class Deployment {
+public:
+    struct Vm {
+        std::string service;
+        std::string zone;
+    };
+
+    /// With links, the connections between the nodes can be cut.
+    Deployment(const Arguments&, const std::string& config, const std::vector<Vm>&, unsigned slots, bool hasLinks);
+
+    /// Waits until all nodes are ready and know each other's servers. Ends the process with status 2 if they don't get ready.
+    void waitUntilReady();
+
+    Node& node(std::size_t index) { return *nodes_[index]; }
+    Server& server(std::size_t index) { return *servers_[index]; }
+    Links& links() { return links_; }
+    Record& record() { return record_; }
+
+    /// An address that nothing listens on.
+    Address freeAddress() const { return freeAddress_; }
+
+    /// Number of times that each request has started on all servers together.
+    std::map<std::string, unsigned> runs();
+
+private:
+    Record record_;
+    Links links_{record_};
+    std::unique_ptr<Store> store_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<std::unique_ptr<Server>> servers_;
+    Address freeAddress_;
+};
+
+/// Sends requests that may not be repeated, and checks afterwards what became of them.
+class Callers {
+public:
+    explicit Callers(Deployment& deployment)
+        : deployment_(deployment)
+    {
+    }
+
+    /// Sends a request that works for some time and waits for the answer.
+    void send(const Node&, const std::string& id, Millis work, Millis timeout);
+
+    /// Checks that each request has run once at most and, if it was answered as not run, not at all. Returns the status of the
+    /// script.
+    int check();
+
+private:
+    Deployment& deployment_;
+    std::mutex mutex_;
+    std::map<std::string, unsigned> statuses_;
+};
+
 /// Returns the first of count ports in a row that are free on all hosts.
 std::uint16_t findFreePorts(const std::vector<std::string>& hosts, unsigned count);
 
