--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -30,6 +30,7 @@
 constexpr auto heartbeatInterval = std::chrono::milliseconds(1500);
 constexpr auto longestRun = std::chrono::seconds(115);
 constexpr std::size_t relayBytes = 65536;
+constexpr std::uint64_t maximumBodyBytes = 1 << 30;
 constexpr int linkWindowBytes = 65536;
 constexpr int ethernetSegmentBytes = 1460;
 constexpr double bytesPerMegabit = 1e6 / 8;
@@ -171,6 +172,28 @@
     return answer;
 }
 
+Answer KeptConnection::send(const HttpRequest& request)
+{
+    Answer answer;
+    boost::system::error_code error;
+    if (!socket_) {
+        socket_ = std::make_unique<Socket>(loop());
+        buffer_.clear();
+        isKept_ = false;
+        socket_->connect(endpointOf(address_), error);
+    }
+    if (!error)
+        http::write(*socket_, request, error);
+    if (!error)
+        http::read(*socket_, buffer_, answer.message, error);
+    answer.status = error ? 0 : answer.message.result_int();
+    if (error || !answer.message.keep_alive())
+        socket_.reset();
+    else
+        isKept_ = true;
+    return answer;
+}
+
 HttpRequest makeRequest(http::verb method, const std::string& target, const std::string& id, Millis timeout)
 {
     HttpRequest request(method, target, 11);
@@ -330,11 +353,13 @@
     boost::beast::flat_buffer buffer;
     std::string lateCopy;
     for (;;) {
-        HttpRequest request;
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(maximumBodyBytes);
         boost::system::error_code error;
-        http::read(socket, buffer, request, error);
+        http::read(socket, buffer, parser, error);
         if (error)
             return;
+        const auto& request = parser.get();
         if (!lateCopy.empty())
             boost::asio::write(socket, boost::asio::buffer(lateCopy), error);
         lateCopy.clear();
@@ -607,6 +632,31 @@
     ::kill(pid_, number);
 }
 
+std::uint64_t Node::peakMemory() const
+{
+    constexpr std::string_view label = "VmHWM:";
+    constexpr std::uint64_t bytesPerKilobyte = 1024;
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(label))
+            return std::stoull(line.substr(label.size())) * bytesPerKilobyte;
+    }
+    return 0;
+}
+
+void Node::killAndRestart()
+{
+    constexpr auto restartDelay = std::chrono::milliseconds(500);
+    {
+        std::scoped_lock lock(processesMutex);
+        processes.erase(pid_);
+    }
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    std::this_thread::sleep_for(restartDelay);
+    start();
+}
+
 bool Node::waitUntilReady(Millis timeout) const
 {
     auto end = std::chrono::steady_clock::now() + timeout;
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -72,6 +73,27 @@
 /// Sends one request on a new connection and waits for the answer.
 Answer sendAndReceive(const Address&, const HttpRequest&);
 
+/// A connection that a caller keeps for many requests.
+class KeptConnection {
+public:
+    explicit KeptConnection(const Address& address)
+        : address_(address)
+    {
+    }
+
+    /// Sends a request and waits for the answer. Connects first if the connection has ended.
+    Answer send(const HttpRequest&);
+
+    /// Whether the connection has brought an answer before.
+    bool isKept() const { return isKept_; }
+
+private:
+    Address address_;
+    std::unique_ptr<Socket> socket_;
+    boost::beast::flat_buffer buffer_;
+    bool isKept_ = false;
+};
+
 /// Makes a request of a caller.
 HttpRequest makeRequest(boost::beast::http::verb, const std::string& target, const std::string& id, Millis timeout);
 
@@ -243,7 +265,12 @@
 
     void start();
     void signal(int number) const;
-    pid_t pid() const { return pid_; }
+
+    /// The most memory that the process has used so far, in bytes.
+    std::uint64_t peakMemory() const;
+
+    /// Kills the process and starts it again after a short delay.
+    void killAndRestart();
 
     /// Waits until it is ready. Returns false after the timeout.
     bool waitUntilReady(Millis timeout) const;
