--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <fcntl.h>
 #include <filesystem>
 #include <iostream>
@@ -617,14 +618,19 @@
     auto log = options_.folder + "/log.txt";
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments.data(), variables.data());
+    int error = 0;
+    {
+        // Under the lock, so that no process starts once finish() has begun to end them.
+        std::scoped_lock lock(processesMutex);
+        error = posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments.data(), variables.data());
+        if (error == 0)
+            processes.insert(pid_);
+    }
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         std::cerr << "cannot start " << program << std::endl;
         finish(2);
     }
-    std::scoped_lock lock(processesMutex);
-    processes.insert(pid_);
 }
 
 void Node::signal(int number) const
@@ -650,9 +656,9 @@
     {
         std::scoped_lock lock(processesMutex);
         processes.erase(pid_);
+        ::kill(pid_, SIGKILL);
+        ::waitpid(pid_, nullptr, 0);
     }
-    ::kill(pid_, SIGKILL);
-    ::waitpid(pid_, nullptr, 0);
     std::this_thread::sleep_for(restartDelay);
     start();
 }
@@ -672,6 +678,18 @@
 
 Arguments readArguments(int count, char** values)
 {
+    // An exception on any thread means that the case could not run; the nodes are ended all the same.
+    std::set_terminate([] { finish(2); });
+    // run.sh sends SIGTERM to a scenario that is to end early.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([signals] {
+        int number = 0;
+        sigwait(&signals, &number);
+        finish(2);
+    }).detach();
     if (count != 4) {
         std::cerr << "usage: PROGRAM FOLDER RECORD" << std::endl;
         finish(2);
@@ -807,9 +825,10 @@
     return !value || std::string(value) != "0";
 }
 
+// Keeps the lock until the process has ended.
 void finish(int status)
 {
-    std::scoped_lock lock(processesMutex);
+    processesMutex.lock();
     for (auto process : processes) {
         ::kill(process, SIGCONT);
         ::kill(process, SIGKILL);
