Log outcome queries, and which attempt and connection a guard's line is about

A guard says nothing when a sender queries the outcome of an attempt after a lost connection, and its line on a finished attempt names neither the attempt nor the connection to the server, so two sendings of one caller's request look the same.

Change: each outcome query has a line that says what the guard knew of the attempt (completed, open, unseen) and how many outcomes it kept. guard-ran names the attempt and the connection to the server, and counts the requests on that connection.

--- a/include/balsamreel/Relay/CompletedAttempts.h
+++ b/include/balsamreel/Relay/CompletedAttempts.h
@@ -26,6 +26,8 @@
     /// Returns null if the attempt is not known to be complete.
     const Outcome* find(const AttemptKey&) const;
 
+    std::size_t size() const { return outcomes_.size(); }
+
     /// Drops expired outcomes. Beyond the size limit, replaces the oldest responses by Unknown.
     void evict(Instant now);
 
--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -150,6 +150,7 @@
     std::uint32_t runningAtServer_ = 0;
     ServerNotice serverNotice_;
     std::uint64_t sentCount_ = 0;
+    std::uint64_t connectionCount_ = 0; ///< connections opened to the server for attempts
     QueueDeadline queueDeadline_;
     std::uint64_t nextTicket_ = 1;
     std::unordered_map<std::uint64_t, std::unique_ptr<Attempt>> attempts_;
--- a/include/balsamreel/Relay/HttpClientConnection.h
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -46,8 +46,8 @@
 public:
     using Done = std::function<void(HttpResult)>;
 
-    /// Without a budget, only the size of each response is limited.
-    HttpClientConnection(Loop&, Support::Endpoint, std::shared_ptr<ResponseMemoryBudget> = nullptr);
+    /// Without a budget, only the size of each response is limited. The number names the connection in log lines.
+    HttpClientConnection(Loop&, Support::Endpoint, std::shared_ptr<ResponseMemoryBudget> = nullptr, std::uint64_t number = 0);
     ~HttpClientConnection() { updateHeldBytes(0); }
     HttpClientConnection(const HttpClientConnection&) = delete;
     HttpClientConnection& operator=(const HttpClientConnection&) = delete;
@@ -61,6 +61,8 @@
     /// Whether the connection is open and idle, and the server is not about to close it.
     bool isReusable(Instant now) const;
     Instant idleSince() const { return idleSince_; }
+    std::uint64_t number() const { return number_; }
+    std::uint64_t requestCount() const { return requestCount_; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -85,6 +87,8 @@
     std::string output_;
     std::shared_ptr<ResponseMemoryBudget> memoryBudget_;
     std::size_t heldBytes_ = 0; ///< share of this connection in memoryBudget_
+    std::uint64_t number_ = 0;
+    std::uint64_t requestCount_ = 0; ///< sent so far, including the current one
     unsigned skippedResponses_ = 0; ///< since the request was sent
     ResponseMatch match_;
     Done done_;
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -26,6 +26,13 @@
 constexpr double microsPerSecond = 1e6;
 constexpr unsigned leastUrgentPriority = std::numeric_limits<unsigned>::max();
 
+/// What the guard knows of an attempt.
+enum class AttemptState : std::uint8_t { Unseen,
+    Open, ///< queued or running
+    Completed };
+
+constexpr Support::NameTable<AttemptState, 3> attemptStateNames{{{AttemptState::Unseen, "unseen"}, {AttemptState::Open, "open"}, {AttemptState::Completed, "completed"}}};
+
 Reason reasonOf(Admission::RefusalReason reason)
 {
     switch (reason) {
@@ -182,7 +189,7 @@
         idleConnections_.pop_back();
         return connection;
     }
-    return std::make_shared<HttpClientConnection>(loop_, settings_.server, responseMemory_);
+    return std::make_shared<HttpClientConnection>(loop_, settings_.server, responseMemory_, ++connectionCount_);
 }
 
 std::vector<Header> Guard::addedHeaders(const Attempt& attempt, Instant now) const
@@ -334,7 +341,7 @@
     if (!attempt.request.isIdempotent)
         completed_.add(now, attempt.key, outcome);
     const auto* response = std::get_if<ServerResponse>(&outcome);
-    log_.line(hasSucceeded ? LogClass::Routine : LogClass::Notable, "guard-ran", "id={} route={} status={} reason={} slowed={} queued_us={} ran_us={}", attempt.request.request.callerAttemptId, attempt.request.route, response ? response->status : 0, Support::nameOf(reasonNames, reasonOf(outcome)), attempt.wasSlowed, (attempt.startedAt - attempt.submittedAt).count(), (now - attempt.startedAt).count());
+    log_.line(hasSucceeded ? LogClass::Routine : LogClass::Notable, "guard-ran", "id={} attempt={:x}/{} route={} status={} reason={} slowed={} queued_us={} ran_us={} connection={} connection_use={}", attempt.request.request.callerAttemptId, attempt.key.senderIncarnation, attempt.key.serial, attempt.request.route, response ? response->status : 0, Support::nameOf(reasonNames, reasonOf(outcome)), attempt.wasSlowed, (attempt.startedAt - attempt.submittedAt).count(), (now - attempt.startedAt).count(), attempt.connection ? attempt.connection->number() : 0, attempt.connection ? attempt.connection->requestCount() : 0);
     if (attempt.done)
         attempt.done(outcome, loadStamp());
     applyResolutions(next);
@@ -375,11 +382,16 @@
 
 void Guard::queryOutcome(const AttemptKey& key, Done done)
 {
-    if (const auto* completed = completed_.find(key))
+    const auto* completed = completed_.find(key);
+    auto open = tickets_.find(key);
+    auto state = completed ? AttemptState::Completed : AttemptState::Unseen;
+    if (open != tickets_.end())
+        state = AttemptState::Open;
+    log_.line(LogClass::Notable, "outcome-query", "attempt={:x}/{} state={} records={}", key.senderIncarnation, key.serial, Support::nameOf(attemptStateNames, state), completed_.size());
+    if (completed)
         return done(*completed, loadStamp());
-    auto found = tickets_.find(key);
-    if (found != tickets_.end()) {
-        attempts_.at(found->second)->done = std::move(done);
+    if (open != tickets_.end()) {
+        attempts_.at(open->second)->done = std::move(done);
         return;
     }
     // The attempt was never seen. If it still arrives, submit() finds this outcome and does not run it.
--- a/lib/Relay/HttpClientConnection.cpp
+++ b/lib/Relay/HttpClientConnection.cpp
@@ -30,10 +30,11 @@
 
 } // namespace
 
-HttpClientConnection::HttpClientConnection(Loop& loop, Support::Endpoint server, std::shared_ptr<ResponseMemoryBudget> memoryBudget)
+HttpClientConnection::HttpClientConnection(Loop& loop, Support::Endpoint server, std::shared_ptr<ResponseMemoryBudget> memoryBudget, std::uint64_t number)
     : socket_(loop)
     , server_(std::move(server))
     , memoryBudget_(std::move(memoryBudget))
+    , number_(number)
     , idleTimeout_(assumedIdleTimeout)
 {
 }
@@ -51,6 +52,7 @@
     done_ = std::move(done);
     isRequestWritten_ = false;
     skippedResponses_ = 0;
+    ++requestCount_;
     restartParser();
     if (isConnected_)
         return write();
