Dial with increasing delays while connections end before the handshake

Cause: the loss of a connection counted as the loss of a peer that was just there, which is dialed again at once, even if the connection had never brought the peer's greeting. A node of another protocol version is dialed the same way.

Change: a connection that ends before the handshake counts as a failed dial.

--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -106,7 +106,7 @@
         bool isFollowingStore = false;
         std::uint64_t incarnation = 0;
         ServerStatus status;
-        unsigned failures = 0; ///< consecutive failed dials
+        unsigned failures = 0; ///< consecutive dials that led to no handshake
         Instant nextDial;
         Instant pingedAt;
         std::unordered_map<std::uint64_t, PendingAttempt> pending;
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -356,7 +356,6 @@
     if (hello.sender.name != peer->record.name) {
         // The address of a VM that is gone now belongs to another one, whose server would be counted twice under two names.
         peer->connection->close();
-        ++peer->failures;
         onLost(peer, "address belongs to " + hello.sender.name);
         return addNodes({hello.sender});
     }
@@ -392,6 +391,9 @@
         return;
     log_.line(LogClass::Notable, "peer-lost", "peer={} cause=\"{}\" offers={}", peer->record.name, cause, peer->pending.size());
     peer->connection.reset();
+    // Something accepts connections at the address, but not the peer: it counts as a failed dial.
+    if (!peer->isHandshakeDone)
+        ++peer->failures;
     peer->isHandshakeDone = false;
     peer->isFollowingStore = false;
     peer->nextDial = Support::monotonicNow() + redialDelay(*peer);
@@ -412,7 +414,7 @@
         dial(peer);
 }
 
-// No delay after the loss of an established connection; exponential backoff after consecutive failures.
+// No delay after the loss of a connection that had completed its handshake; exponential backoff after consecutive failures.
 Duration Peers::redialDelay(const Peer& peer) const
 {
     if (peer.failures == 0)
