Keep the outcome of an attempt until its deadline, and never take a dropped one for unseen

Cause: a guard kept outcomes for a fixed 10 s, but a sender whose connection is lost queries the outcome until the deadline of its request. Once dropped, an outcome could not be told from an attempt that never arrived, so the guard answered 'not run' and the entry sent the request to another server, or refused it.

Change: records last until the deadline of their attempt, which the sender's deadline never exceeds; outcome queries carry the time that is left, so that the refusal of an unseen attempt lasts as long (peer protocol 4). Expired records are dropped each tick, no longer only when another attempt completes.

--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -45,9 +45,9 @@
     /// otherwise.
     void cancel(const AttemptKey&);
 
-    /// Reports the outcome of an attempt to a sender that lost its peer connection. An unknown attempt is refused from
-    /// now on.
-    void queryOutcome(const AttemptKey&, Done);
+    /// Reports the outcome of an attempt to a sender that lost its peer connection and waits for it until the deadline. An
+    /// attempt that was never seen is refused from now on.
+    void queryOutcome(const AttemptKey&, Instant deadline, Done);
 
     /// Applies an announcement of the server. Returns false if it is outdated or about another server.
     bool handleAnnouncement(const Announcement&);
@@ -108,7 +108,7 @@
         std::shared_ptr<HttpClientConnection> connection; ///< set once the attempt runs
     };
 
-    void refuse(const AttemptKey&, const AttemptRequest&, NotRun, const Done&);
+    void refuse(const AttemptKey&, const AttemptRequest&, Instant deadline, NotRun, const Done&);
     void applyResolutions(const std::vector<Admission::Resolution>&);
     void returnRateRoom(const Attempt&);
     void startOrHold(std::uint64_t ticket);
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -107,9 +107,10 @@
     NoRoute,
     BadRequest,
     ShuttingDown,
-    RateLimited }; ///< by the rate that the server has named
+    RateLimited, ///< by the rate that the server has named
+    OutcomeDropped }; ///< the guard no longer keeps the outcome
 
-constexpr Support::NameTable<Reason, 19> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerConnectionLost, "server-broke"}, {Reason::BadResponse, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}, {Reason::RateLimited, "rate-limited"}}};
+constexpr Support::NameTable<Reason, 20> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerConnectionLost, "server-broke"}, {Reason::BadResponse, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}, {Reason::RateLimited, "rate-limited"}, {Reason::OutcomeDropped, "outcome-dropped"}}};
 
 /// The attempt did not run and never will.
 struct NotRun {
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -15,7 +15,7 @@
 
 namespace balsamreel::Relay {
 
-constexpr std::uint8_t peerProtocolVersion = 3;
+constexpr std::uint8_t peerProtocolVersion = 4;
 /// Size of the length field that precedes each frame.
 constexpr std::size_t frameHeaderBytes = 4;
 /// Leaves room for the largest request body that a caller may send, and its headers.
@@ -167,7 +167,7 @@
 struct OutcomeQuery {
     std::uint64_t senderIncarnation = 0;
     std::uint64_t serial = 0;
-    std::string instance;
+    std::uint32_t timeoutMicros = 0; ///< time left until the sender stops waiting for the outcome
 };
 
 struct Ping { };
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -17,7 +17,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace balsamreel::Relay {
@@ -91,7 +90,6 @@
     struct PendingAttempt {
         Guard::Done done;
         Instant sentAt;
-        std::string instance;
         bool isIdempotent = false;
         Instant deadline;
         bool isOutcomeQueried = false; ///< the connection was lost; the outcome is queried on the next one
@@ -109,7 +107,7 @@
         unsigned failures = 0; ///< consecutive dials that led to no handshake
         Instant nextDial;
         Instant pingedAt;
-        std::unordered_map<std::uint64_t, PendingAttempt> pending;
+        std::map<std::uint64_t, PendingAttempt> pending; ///< by serial
     };
     using PeerPointer = std::shared_ptr<Peer>;
 
@@ -137,6 +135,7 @@
     void onHello(const PeerPointer&, const Hello&);
     void onAttemptReply(const PeerPointer&, const AttemptReply&);
     void onLost(const PeerPointer&, const std::string& cause);
+    void queryOutcomes(const Peer&) const;
     void checkLiveness(Instant now, const PeerPointer&);
     Duration redialDelay(const Peer&) const;
     std::size_t connectedCount() const;
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -115,28 +115,30 @@
     onServerChange(before);
 }
 
-void Guard::refuse(const AttemptKey& key, const AttemptRequest& request, NotRun refusal, const Done& done)
+void Guard::refuse(const AttemptKey& key, const AttemptRequest& request, Instant deadline, NotRun refusal, const Done& done)
 {
-    auto load = admission_.load(Support::monotonicNow());
+    auto now = Support::monotonicNow();
+    auto load = admission_.load(now);
     log_.line(LogClass::Notable, "guard-refused", "id={} route={} reason={} wait_us={} left_us={} running={} long={} queued={} limit={}", request.request.callerAttemptId, request.route, Support::nameOf(reasonNames, refusal.reason), refusal.expectedWait.count(), request.timeoutMicros, load.running, load.runningLong, load.queued, load.limit);
     if (!request.isIdempotent)
-        completed_.add(Support::monotonicNow(), key, refusal);
+        completed_.add(now, key, deadline, refusal);
     done(refusal, loadStamp());
 }
 
 void Guard::submit(const AttemptKey& key, const AttemptRequest& request, Done done)
 {
     auto now = Support::monotonicNow();
+    auto deadline = now + Duration(request.timeoutMicros);
     if (const auto* completed = completed_.find(key))
         return done(*completed, loadStamp());
     const auto* ready = server_.ready();
     if (!ready || isClosed_)
-        return refuse(key, request, {Reason::ServerLeaving, {}, false}, done);
+        return refuse(key, request, deadline, {Reason::ServerLeaving, {}, false}, done);
     if (ready->instance != request.instance)
-        return refuse(key, request, {Reason::WrongServer, {}, false}, done);
+        return refuse(key, request, deadline, {Reason::WrongServer, {}, false}, done);
     // Waiting would not help: the limit leaves room for a certain number of requests only.
     if (!rateLimiter_.tryTake(now, request.priority))
-        return refuse(key, request, {Reason::RateLimited, rateLimiter_.scheduleReturn(now, request.priority), false}, done);
+        return refuse(key, request, deadline, {Reason::RateLimited, rateLimiter_.scheduleReturn(now, request.priority), false}, done);
 
     Admission::Ticket ticket;
     ticket.id = nextTicket_++;
@@ -146,9 +148,9 @@
     auto decision = admission_.submit(now, ticket);
     if (const auto* refused = std::get_if<Admission::Refused>(&decision)) {
         rateLimiter_.giveBack();
-        return refuse(key, request, {reasonOf(refused->reason), refused->expectedWait, false}, done);
+        return refuse(key, request, deadline, {reasonOf(refused->reason), refused->expectedWait, false}, done);
     }
-    attempts_[ticket.id] = std::make_unique<Attempt>(Attempt{.key = key, .request = request, .done = std::move(done), .submittedAt = now, .deadline = now + Duration(request.timeoutMicros), .startedAt = now, .hasRateRoom = rateLimiter_.limit().has_value()});
+    attempts_[ticket.id] = std::make_unique<Attempt>(Attempt{.key = key, .request = request, .done = std::move(done), .submittedAt = now, .deadline = deadline, .startedAt = now, .hasRateRoom = rateLimiter_.limit().has_value()});
     tickets_[key] = ticket.id;
     if (std::holds_alternative<Admission::Admitted>(decision))
         startOrHold(ticket.id);
@@ -171,7 +173,7 @@
         const auto& attempt = *node.mapped();
         tickets_.erase(attempt.key);
         returnRateRoom(attempt);
-        refuse(attempt.key, attempt.request, {reasonOf(refused.reason), refused.expectedWait, false}, attempt.done);
+        refuse(attempt.key, attempt.request, attempt.deadline, {reasonOf(refused.reason), refused.expectedWait, false}, attempt.done);
     }
 }
 
@@ -339,7 +341,7 @@
         learnUsableSlots(attempt, now);
     }
     if (!attempt.request.isIdempotent)
-        completed_.add(now, attempt.key, outcome);
+        completed_.add(now, attempt.key, attempt.deadline, outcome);
     const auto* response = std::get_if<ServerResponse>(&outcome);
     log_.line(hasSucceeded ? LogClass::Routine : LogClass::Notable, "guard-ran", "id={} attempt={:x}/{} route={} status={} reason={} slowed={} queued_us={} ran_us={} connection={} connection_use={}", attempt.request.request.callerAttemptId, attempt.key.senderIncarnation, attempt.key.serial, attempt.request.route, response ? response->status : 0, Support::nameOf(reasonNames, reasonOf(outcome)), attempt.wasSlowed, (attempt.startedAt - attempt.submittedAt).count(), (now - attempt.startedAt).count(), attempt.connection ? attempt.connection->number() : 0, attempt.connection ? attempt.connection->requestCount() : 0);
     if (attempt.done)
@@ -380,23 +382,24 @@
     complete(ticket, Unknown{Reason::CallerLeft}, false);
 }
 
-void Guard::queryOutcome(const AttemptKey& key, Done done)
+void Guard::queryOutcome(const AttemptKey& key, Instant deadline, Done done)
 {
-    const auto* completed = completed_.find(key);
     auto open = tickets_.find(key);
+    const auto* completed = completed_.find(key);
     auto state = completed ? AttemptState::Completed : AttemptState::Unseen;
     if (open != tickets_.end())
         state = AttemptState::Open;
-    log_.line(LogClass::Notable, "outcome-query", "attempt={:x}/{} state={} records={}", key.senderIncarnation, key.serial, Support::nameOf(attemptStateNames, state), completed_.size());
-    if (completed)
-        return done(*completed, loadStamp());
+    log_.line(LogClass::Notable, "outcome-query", "attempt={:x}/{} state={} reason={} records={}", key.senderIncarnation, key.serial, Support::nameOf(attemptStateNames, state), Support::nameOf(reasonNames, completed ? reasonOf(*completed) : Reason::None), completed_.size());
+    // An open attempt may be older than others of its sender whose outcomes were dropped.
     if (open != tickets_.end()) {
         attempts_.at(open->second)->done = std::move(done);
         return;
     }
+    if (completed)
+        return done(*completed, loadStamp());
     // The attempt was never seen. If it still arrives, submit() finds this outcome and does not run it.
     NotRun refusal{Reason::PeerLost, {}, false};
-    completed_.add(Support::monotonicNow(), key, refusal);
+    completed_.add(Support::monotonicNow(), key, deadline, refusal);
     done(refusal, loadStamp());
 }
 
@@ -404,6 +407,7 @@
 // so the outcome is unknown.
 void Guard::tick(Instant now)
 {
+    completed_.evict(now);
     std::vector<std::uint64_t> overdue;
     for (const auto& [ticket, attempt] : attempts_) {
         if (attempt->connection && now >= attempt->deadline + responseGrace)
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -212,8 +212,7 @@
 template <typename Archive>
 void serialize(Archive& archive, OutcomeQuery& query)
 {
-    archive(query.senderIncarnation, query.serial);
-    shortText(archive, query.instance);
+    archive(query.senderIncarnation, query.serial, query.timeoutMicros);
 }
 
 template <typename Archive>
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -31,6 +31,11 @@
 // accept() mostly fails for lack of file descriptors, so it is retried after a delay.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
+std::uint32_t microsUntil(Instant now, Instant deadline)
+{
+    return static_cast<std::uint32_t>(std::max<Duration::rep>(0, (deadline - now).count()));
+}
+
 boost::asio::ip::tcp::endpoint endpointOf(const Support::Endpoint& endpoint)
 {
     return {tcp::make_address(endpoint.host), endpoint.port};
@@ -194,7 +199,8 @@
         if (other->incarnation == outcomeQuery.senderIncarnation)
             other->openAttempts.erase(outcomeQuery.serial);
     }
-    guard_.queryOutcome({outcomeQuery.senderIncarnation, outcomeQuery.serial}, replyCallback(inbound, outcomeQuery.serial));
+    auto deadline = Support::monotonicNow() + Duration(outcomeQuery.timeoutMicros);
+    guard_.queryOutcome({outcomeQuery.senderIncarnation, outcomeQuery.serial}, deadline, replyCallback(inbound, outcomeQuery.serial));
 }
 
 Hello Peers::makeHello() const
@@ -322,8 +328,16 @@
     };
     peer->connection->start(std::move(handlers));
     peer->connection->send(makeHello());
-    for (const auto& [serial, attempt] : peer->pending)
-        peer->connection->send(OutcomeQuery{incarnation_, serial, attempt.instance});
+    queryOutcomes(*peer);
+}
+
+// The queries precede all new attempts on the connection, so a guard that has seen an attempt has also seen the queries for
+// all earlier ones.
+void Peers::queryOutcomes(const Peer& peer) const
+{
+    auto now = Support::monotonicNow();
+    for (const auto& [serial, attempt] : peer.pending)
+        peer.connection->send(OutcomeQuery{incarnation_, serial, microsUntil(now, attempt.deadline)});
 }
 
 void Peers::onPeerMessage(const PeerPointer& peer, PeerMessage&& message)
@@ -455,7 +469,7 @@
         return done(NotRun{Reason::PeerLost, {}, false}, {});
     auto now = Support::monotonicNow();
     auto& peer = *found->second;
-    peer.pending[request.serial] = {std::move(done), now, request.instance, request.isIdempotent, now + Duration(request.timeoutMicros), false};
+    peer.pending[request.serial] = {std::move(done), now, request.isIdempotent, now + Duration(request.timeoutMicros), false};
     auto encoded = peer.encoder.encode(request);
     if (encoded.definition)
         peer.connection->send(std::move(*encoded.definition));
