Send a request over a connection to the server once only, so that its id names one sending

Cause: after a server had rejected a request and the node of the other server had sent it back, the entry sent it to the first server again, and the guard used the same connection. The server's late copy of its rejection then came first. The guard tells responses apart by the caller's id of the request, which both sendings share.

The choice of the same server is no fault in itself: a rejection promises that the request has not run, and it may be sent there again.

Change: a connection remembers the ids of the requests that it carried, as hashes, and a request is not sent over one that carried its id before. After 1,000 requests a connection is closed, which bounds the memory to 8 kB a connection. A response without an id on a connection that carried other requests proves nothing and leaves the outcome unknown; a connection on which a response came without an id is not used again, and a request without an id gets a connection of its own.

--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -129,7 +129,7 @@
     Outcome outcomeOf(const Attempt&, HttpResult);
     Outcome outcomeOf(const Attempt&, HttpResponse&&);
     std::vector<Header> addedHeaders(const Attempt&, Instant now) const;
-    std::shared_ptr<HttpClientConnection> takeConnection(bool isIdempotent, Instant now);
+    std::shared_ptr<HttpClientConnection> takeConnection(const AttemptRequest&, Instant now);
     void onServerChange(const ServerStatus& before);
     void setPersistedState(PersistedServerState);
     void learnUsableSlots(const Attempt&, Instant now);
--- a/include/balsamreel/Relay/HttpClientConnection.h
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -11,7 +11,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
+#include <vector>
 
 namespace balsamreel::Relay {
 
@@ -29,8 +31,8 @@
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
 
-/// Identifies the response to a request where the server may also send responses to other requests. A response without
-/// the header matches too.
+/// Identifies the response to a request where the server may also send responses to other requests, or a response twice.
+/// The server repeats the request's value of the header in the response.
 struct ResponseMatch {
     std::string header; ///< empty: any response matches
     std::string value;
@@ -60,6 +62,10 @@
 
     /// Whether the connection is open and idle, and the server is not about to close it.
     bool isReusable(Instant now) const;
+
+    /// Whether the response to a request with this value of the matched header could be told from all others that the server
+    /// may still send on this connection.
+    bool canMatch(std::string_view value) const;
     Instant idleSince() const { return idleSince_; }
     std::uint64_t number() const { return number_; }
     std::uint64_t requestCount() const { return requestCount_; }
@@ -77,6 +83,7 @@
     bool isWithinBounds(bool needsMore);
     bool skipResponse();
     bool handleResponse();
+    std::string_view matchedValue(); ///< of the response; empty if it has none
     void finish(HttpResult);
     void updateIdleTimeout(const boost::beast::http::fields&);
 
@@ -91,6 +98,7 @@
     std::uint64_t requestCount_ = 0; ///< sent so far, including the current one
     unsigned skippedResponses_ = 0; ///< since the request was sent
     ResponseMatch match_;
+    std::vector<std::size_t> sentValues_; ///< hashes of the matched values of all requests so far
     Done done_;
     bool isHead_ = false;
     bool isConnected_ = false;
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -183,15 +183,20 @@
         rateLimiter_.giveBack();
 }
 
-std::shared_ptr<HttpClientConnection> Guard::takeConnection(bool isIdempotent, Instant now)
+// Two attempts may send the same request of a caller to this server, so the caller's id alone does not tell which of them a
+// response belongs to.
+std::shared_ptr<HttpClientConnection> Guard::takeConnection(const AttemptRequest& request, Instant now)
 {
     std::erase_if(idleConnections_, [now](const auto& connection) { return !connection->isReusable(now); });
-    if (!idleConnections_.empty() && (isIdempotent || now - idleConnections_.back()->idleSince() < nonIdempotentMaximumIdle)) {
-        auto connection = std::move(idleConnections_.back());
-        idleConnections_.pop_back();
-        return connection;
-    }
-    return std::make_shared<HttpClientConnection>(loop_, settings_.server, responseMemory_, ++connectionCount_);
+    auto found = std::find_if(idleConnections_.rbegin(), idleConnections_.rend(), [&](const auto& connection) {
+        bool isFreshEnough = request.isIdempotent || now - connection->idleSince() < nonIdempotentMaximumIdle;
+        return isFreshEnough && connection->canMatch(request.request.callerAttemptId);
+    });
+    if (found == idleConnections_.rend())
+        return std::make_shared<HttpClientConnection>(loop_, settings_.server, responseMemory_, ++connectionCount_);
+    auto connection = std::move(*found);
+    idleConnections_.erase(std::next(found).base());
+    return connection;
 }
 
 std::vector<Header> Guard::addedHeaders(const Attempt& attempt, Instant now) const
@@ -258,7 +263,7 @@
     attempt.runningAtStart = ++runningAtServer_;
     admission_.begin(now, ticket);
     attempt.wasSlowed = startPolicy_.slowdownState(now) == SlowdownState::Slowed;
-    attempt.connection = takeConnection(attempt.request.isIdempotent, now);
+    attempt.connection = takeConnection(attempt.request, now);
     auto text = serializeRequest(attempt.request.request, addedHeaders(attempt, now));
     attempt.connection->exchange(std::move(text), {names_.callerAttemptId, attempt.request.request.callerAttemptId}, attempt.request.request.method == "HEAD", [this, ticket](HttpResult result) { onServerResponse(ticket, std::move(result)); });
 }
--- a/lib/Relay/HttpClientConnection.cpp
+++ b/lib/Relay/HttpClientConnection.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <functional>
 
 namespace balsamreel::Relay {
 
@@ -26,6 +28,8 @@
 // A request may be in transit when the server closes the connection, so the connection is not reused during this time
 // before the idle timeout.
 constexpr Duration idleTimeoutMargin = std::chrono::milliseconds(900);
+// Bounds the memory for the values of the matched header that a connection remembers.
+constexpr std::size_t maximumMatchedRequests = 1000;
 constexpr std::uint32_t firstFinalStatus = 200;
 
 } // namespace
@@ -44,6 +48,12 @@
     return isConnected_ && !isClosed_ && !isClosing_ && !done_ && now - idleSince_ < idleTimeout_ - idleTimeoutMargin;
 }
 
+// The server may send a late copy of any earlier response, also of one to an earlier sending of the same request.
+bool HttpClientConnection::canMatch(std::string_view value) const
+{
+    return !value.empty() && std::ranges::find(sentValues_, std::hash<std::string_view>()(value)) == sentValues_.end();
+}
+
 void HttpClientConnection::exchange(std::string text, ResponseMatch match, bool isHead, Done done)
 {
     output_ = std::move(text);
@@ -53,6 +63,8 @@
     isRequestWritten_ = false;
     skippedResponses_ = 0;
     ++requestCount_;
+    if (!match_.header.empty())
+        sentValues_.push_back(std::hash<std::string_view>()(match_.value));
     restartParser();
     if (isConnected_)
         return write();
@@ -184,6 +196,12 @@
     return false;
 }
 
+std::string_view HttpClientConnection::matchedValue()
+{
+    auto value = parser_->get()[boost::beast::string_view(match_.header.data(), match_.header.size())];
+    return {value.data(), value.size()};
+}
+
 // Returns false if the response was skipped and the next one has to be read.
 bool HttpClientConnection::handleResponse()
 {
@@ -192,10 +210,17 @@
     if (status < firstFinalStatus)
         return skipResponse();
     if (!match_.header.empty()) {
-        auto value = message[boost::beast::string_view(match_.header.data(), match_.header.size())];
-        bool isForOtherRequest = !value.empty() && std::string_view(value.data(), value.size()) != match_.value;
-        if (isForOtherRequest)
+        auto value = matchedValue();
+        if (value.empty() && requestCount_ > 1) {
+            // It may belong to an earlier request.
+            finish(HttpFailure::Malformed);
+            return true;
+        }
+        if (!value.empty() && value != match_.value)
             return skipResponse();
+        // A copy of a response without the value could not be told from later responses.
+        if (value.empty() || sentValues_.size() >= maximumMatchedRequests)
+            isClosing_ = true;
     }
     updateIdleTimeout(message.base());
     if (!message.keep_alive() || parser_->need_eof() || input_.size() > 0 || !isRequestWritten_)
