Limit the time of a call to an hour, so that its deadline fits into the messages between nodes

What callers saw: a call with a timeout of 71 minutes or more reached its server with the rest of a division: with 4,294,968 ms its server was given 1 ms. A call with the largest timeout that its header can hold was refused at once with 503.

Deadlines travel between nodes as 32 bits of microseconds, which wrap around, and milliseconds were multiplied without a limit.

Change: the entry limits the time of a call to one hour, before anything is computed from it.

Test: ServesCallsWithTimeoutsOfHoursAndMore failed before (1 ms given to the server; signed overflow and 503).

--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -22,6 +22,8 @@
 // Guards of servers that are slowed down may refuse earlier attempts of a call, so that other servers are tried. From
 // this attempt on, they run the call in spite of the slowdown.
 constexpr unsigned firstAttemptDespiteSlowdown = 4;
+// Deadlines of attempts travel as 32 bits of microseconds, which hold 71 minutes.
+constexpr Duration maximumTimeout = std::chrono::hours(1);
 constexpr Duration retryAfterWithoutServers = std::chrono::milliseconds(300);
 constexpr Duration retryAfterWithoutConfig = std::chrono::milliseconds(500);
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(30);
@@ -34,7 +36,8 @@
     auto millis = Support::parseNumber<std::int64_t>(std::string_view(value.data(), value.size()));
     if (!millis || *millis < 0)
         return std::nullopt;
-    return std::chrono::milliseconds(*millis);
+    constexpr auto maximumMillis = std::chrono::duration_cast<std::chrono::milliseconds>(maximumTimeout).count();
+    return std::chrono::milliseconds(std::min<std::int64_t>(*millis, maximumMillis));
 }
 
 std::string secondsText(Duration duration)
@@ -134,7 +137,7 @@
     call->service = routes_->nextService(*route);
     call->arrivedAt = now;
     auto timeout = timeoutOf(incoming, headerNames_.timeoutMillis).value_or(route->timeout);
-    call->deadline = now + std::min(timeout, route->timeout);
+    call->deadline = now + std::min({timeout, route->timeout, maximumTimeout});
     call->targetTime = now + route->targetLatency;
     call->request = std::move(request);
     calls_[caller] = call;
