--- a/review/standins-2/Deployment.cpp
+++ b/review/standins-2/Deployment.cpp
@@ -211,10 +211,28 @@
 
 void Backend::serve(Connection connection)
 {
+    {
+        std::lock_guard lock(mutex_);
+        if (hasEnded_)
+            return;
+        open_.insert(connection.descriptor());
+    }
     while (auto request = connection.readMessage(Clock::now() + forever)) {
         if (!connection.send(respond(*request)))
-            return;
+            break;
     }
+    std::lock_guard lock(mutex_);
+    open_.erase(connection.descriptor());
+}
+
+// Connections that are made later are closed at once.
+void Backend::end()
+{
+    std::lock_guard lock(mutex_);
+    hasEnded_ = true;
+    for (int descriptor : open_)
+        ::shutdown(descriptor, SHUT_RDWR);
+    record_.line("backend " + instance_ + " exits");
 }
 
 // What the backend says of itself in all its answers.
@@ -273,6 +291,8 @@
     takeSlot();
     {
         std::lock_guard lock(mutex_);
+        if (hasEnded_)
+            return {};
         ++runs_[id];
     }
     record_.line(name + " runs " + id);
--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -106,6 +106,9 @@
     /// Delivers a check-in that the backend made before it left.
     bool deliverLateCheckIn();
 
+    /// Ends as a process does that exits: all connections end, and nothing listens any more.
+    void end();
+
     unsigned runCount(const std::string& id);
 
     /// How many requests with this id have reached the backend, whether or not they have run.
@@ -135,6 +138,8 @@
     unsigned sequence_ = 0; ///< of the last check-in
     bool isLeaving_ = false;
     std::string lateCheckIn_; ///< made before the backend left, and not delivered yet
+    bool hasEnded_ = false;
+    std::set<int> open_; ///< descriptors of the connections
     std::map<std::string, unsigned> arrivals_; ///< by id
     std::map<std::string, unsigned> runs_; ///< by id
 };
--- a/review/standins-2/SilentConnections.cpp
+++ b/review/standins-2/SilentConnections.cpp
@@ -18,15 +18,15 @@
 // In one zone, 12 nodes watch the store, and the others learn of changes from these.
 constexpr unsigned manyMachines = 14;
 
-/// Versions 1 and 2 send /view/ to "plots". Version 3 sends it to "rules" and adds /new/.
+/// Versions 1 and 2 send /book/ to "plots". Version 3 sends it to "rules" and adds /new/.
 void configure(Deployment& deployment, unsigned version)
 {
     bool isThird = version == 3;
-    std::vector<RouteRule> rules{{"r-view", "idempotent", "/view/", isThird ? "rules" : "plots", version == 1 ? "1000ms" : "900ms"}, {"r-draw", "idempotent", "/draw/", "rules", "1000ms"}};
+    std::vector<RouteRule> rules{{"r-book", "non_idempotent", "/book/", isThird ? "rules" : "plots", version == 1 ? "1000ms" : "900ms"}, {"r-draw", "idempotent", "/draw/", "rules", "1000ms"}};
     if (isThird)
         rules.push_back({"r-new", "idempotent", "/new/", "rules", "1000ms"});
     deployment.store.put("config", "main", configText(version, rules));
-    deployment.record.line("operator: version " + std::to_string(version) + " acknowledged, /view/ goes to " + rules.front().service + (isThird ? ", /new/ to rules" : ", there is no /new/"));
+    deployment.record.line("operator: version " + std::to_string(version) + " acknowledged, /book/ goes to " + rules.front().service + (isThird ? ", /new/ to rules" : ", there is no /new/"));
 }
 
 bool wasRunBy(Deployment& deployment, const std::string& service, const std::string& id)
@@ -43,14 +43,14 @@
 {
     unsigned stale = 0;
     for (const auto& machine : deployment.machines) {
-        auto send = [&](const std::string& path) {
+        auto send = [&](const std::string& method, const std::string& path) {
             auto id = label + path + machine->name();
             auto connection = Connection::connectTo(machine->outbound());
-            auto answer = exchange(deployment.record, connection, "client at " + machine->name(), id, requestText("GET", path + "work-5", id, 1000), 1500ms);
+            auto answer = exchange(deployment.record, connection, "client at " + machine->name(), id, requestText(method, path + "work-5", id, 1000), 1500ms);
             return (answer && answer->status() == 404) || wasRunBy(deployment, "plots", id);
         };
-        stale += send("/new/") ? 1 : 0;
-        stale += send("/view/") ? 1 : 0;
+        stale += send("GET", "/new/") ? 1 : 0;
+        stale += send("POST", "/book/") ? 1 : 0;
     }
     return stale;
 }
@@ -96,7 +96,7 @@
     configure(deployment, 1);
     for (unsigned number = 1; number <= fewMachines; ++number)
         deployment.addMachine({.service = number % 2 == 1 ? "plots" : "rules", .zone = "z" + std::to_string(number), .store = relay.address()});
-    if (!waitUntilServed(deployment, "/view/warm", 15s) || !waitUntilServed(deployment, "/draw/warm", 5s))
+    if (!waitUntilServed(deployment, "/book/warm", 15s) || !waitUntilServed(deployment, "/draw/warm", 5s))
         return cannotRun;
     std::this_thread::sleep_for(contact + margin);
     configure(deployment, 2);
@@ -112,7 +112,7 @@
     std::vector<Relay*> relays;
     for (unsigned number = 1; number <= manyMachines; ++number)
         relays.push_back(&deployment.addMachine({.service = number % 2 == 1 ? "plots" : "rules", .hasPeerRelay = true}).peerRelay());
-    if (!waitUntilServed(deployment, "/view/warm", 15s) || !waitUntilServed(deployment, "/draw/warm", 5s))
+    if (!waitUntilServed(deployment, "/book/warm", 15s) || !waitUntilServed(deployment, "/draw/warm", 5s))
         return cannotRun;
     configure(deployment, 2);
     std::this_thread::sleep_for(contact + margin);
