--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -87,8 +87,8 @@
     bool tellsLoad = true; ///< if not, its health path waits for a slot like any request
 };
 
-/// A sound backend with slots. A request for a target that contains "work-N" runs for N milliseconds, also if its connection
-/// closes; one that contains "bytes-N" gets a body of N bytes.
+/// A sound backend with slots. A request for a target that contains "work-N" runs for N milliseconds, until its deadline at most,
+/// and also if its connection closes; one that contains "bytes-N" gets a body of N bytes.
 class Backend {
 public:
     Backend(const std::string& ip, std::string service, std::string instance, BackendOptions, Record&);
