Client accounts: keys, priorities and shares of a full server

Cause: the product knew no client accounts; a client's key was passed on to servers, and requests with unknown keys ran. The entry looks up the key of each request, answers 401 without a known one unless the route is public, and drops the key; the guard sets the name of the account. Accounts share a full server through the fair queue of its guard. Store responses tell the store's era. Peer protocol 5.

--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -59,6 +59,8 @@
         CallerRequest caller; ///< has no connection once the call has its response or the caller has left
         std::shared_ptr<RouteTable> routes; ///< keeps `route` valid
         const Route* route = nullptr;
+        std::string account; ///< client account; empty: none
+        std::uint32_t priority = 0; ///< 0 is the most urgent
         std::string service;
         Request request;
         Instant arrivedAt;
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -39,6 +39,7 @@
     Duration targetLatency{}; ///< latency target: a response within it has its full value
     std::uint32_t maximumServers = 1; ///< number of servers that may receive a caller's request, retries included
     std::uint32_t priority = 0; ///< 0 is the most urgent
+    bool isPublic = false; ///< requests need no key of a client account
 };
 
 /// Configuration of one service.
@@ -46,6 +47,17 @@
     std::string name;
     std::string healthPath;
     std::uint32_t maximumConnections = 0; ///< per server, for all callers together
+    Duration coldTime{}; ///< for how long a server is cold after its start
+    double coldRequestsPerSecond = 0; ///< that a cold server takes from all nodes together; 0: no limit
+};
+
+/// A client account: who sends requests, and the limit on them.
+struct ClientAccount {
+    std::string name;
+    std::vector<std::string> keys; ///< a request with one of these belongs to the account
+    std::optional<std::uint32_t> priority; ///< goes before that of the route; 0 is the most urgent
+    double requestsPerSecond = 0; ///< through all nodes together; 0: no limit
+    double burst = 0; ///< requests that may be sent in excess of the rate
 };
 
 /// Limits on the requests and connections of callers.
@@ -62,6 +74,7 @@
     CallerLimits limits;
     std::vector<Route> routes;
     std::vector<ServiceConfig> services;
+    std::vector<ClientAccount> accounts; ///< empty: requests need no key
 };
 
 struct Header {
@@ -108,9 +121,14 @@
     BadRequest,
     ShuttingDown,
     RateLimited, ///< by the rate that the server has named
-    OutcomeDropped }; ///< the guard no longer keeps the outcome
+    OutcomeDropped, ///< the guard no longer keeps the outcome
+    UnknownKey, ///< the request has no key of a client account
+    QuotaExceeded, ///< the client account has used up its limit
+    ServerCold, ///< the server takes only a limited rate of requests while it is cold
+    DomainEvacuated, ///< the operator has taken the failure domain of the server out of service
+    MemoryExhausted }; ///< the node has no memory for the body of the request
 
-constexpr Support::NameTable<Reason, 20> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerConnectionLost, "server-broke"}, {Reason::BadResponse, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}, {Reason::RateLimited, "rate-limited"}, {Reason::OutcomeDropped, "outcome-dropped"}}};
+constexpr Support::NameTable<Reason, 25> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerConnectionLost, "server-broke"}, {Reason::BadResponse, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}, {Reason::RateLimited, "rate-limited"}, {Reason::OutcomeDropped, "outcome-dropped"}, {Reason::UnknownKey, "unknown-key"}, {Reason::QuotaExceeded, "quota-exceeded"}, {Reason::ServerCold, "server-cold"}, {Reason::DomainEvacuated, "domain-evacuated"}, {Reason::MemoryExhausted, "memory-exhausted"}}};
 
 /// The attempt did not run and never will.
 struct NotRun {
@@ -176,6 +194,8 @@
     std::string load;
     std::string notRun;
     std::string responseProof;
+    std::string account; ///< name of the client account, set for the server
+    std::string coldMillis; ///< for how much longer the server is cold, in its health responses
 };
 
 /// Settings of the node's process.
@@ -199,6 +219,11 @@
     double retrySlack = 62; ///< additional fleet-wide retries to a service per window
     Duration retryWindow = std::chrono::seconds(10);
     double probesPerSecond = 60; ///< upper limit per server
+    Duration quotaWindow = std::chrono::seconds(5); ///< in which the requests of a client account are counted
+    double quotaOverage = 0; ///< share by which an account may exceed its limit in a window
+    double quotaSlack = 0; ///< requests by which an account may exceed its limit in a window, besides
+    double coldOverage = 1; ///< factor by which the requests to a cold server may exceed its limit in a second
+    double coldSlack = 0; ///< requests by which they may exceed it, besides
     Duration otherDomainCost = std::chrono::milliseconds(100); ///< waiting time that is accepted to avoid traffic between failure domains
 };
 
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -15,7 +15,7 @@
 
 namespace balsamreel::Relay {
 
-constexpr std::uint8_t peerProtocolVersion = 4;
+constexpr std::uint8_t peerProtocolVersion = 5;
 /// Size of the length field that precedes each frame.
 constexpr std::size_t frameHeaderBytes = 4;
 /// Leaves room for the largest request body that a caller may send, and its headers.
@@ -115,6 +115,7 @@
     std::uint32_t timeoutMicros = 0; ///< time left until the caller stops waiting
     std::uint32_t latencyTargetMicros = 0; ///< time left until the target time, after which the response has lost most of its value
     std::string originService; ///< service of the VM where the request originated
+    std::string account; ///< client account of the request; empty: none
     Request request;
 };
 
@@ -146,6 +147,7 @@
     std::uint32_t timeoutMicros = 0;
     std::uint32_t latencyTargetMicros = 0;
     std::string callerAttemptId;
+    std::string account;
     std::string target;
     std::string body;
 };
--- a/include/balsamreel/Relay/StoreCalls.h
+++ b/include/balsamreel/Relay/StoreCalls.h
@@ -51,12 +51,14 @@
     std::function<std::optional<StoredObject>(const std::string& body)> readObject;
     std::function<std::optional<StoreListing>(const std::string& body)> readListing;
     std::function<std::optional<StoreListing>(const std::string& body)> readChanges;
+    std::string eraHeader; ///< counts how often the store has come back from an older copy of its data
 };
 
 /// The complete response to a call, or none if it failed or timed out.
 struct StoreReply {
     std::uint32_t status = 0; ///< HTTP status; 0: no response
     std::string body;
+    std::optional<std::uint64_t> era; ///< null if the response does not tell
 };
 
 /// Sends calls over a pool of connections, one per open call.
@@ -64,7 +66,7 @@
 public:
     using Done = std::function<void(StoreReply)>;
 
-    StoreCalls(Loop&, Support::Endpoint store);
+    StoreCalls(Loop&, Support::Endpoint store, std::string eraHeader);
 
     void call(const StoreCall&, Duration timeout, Done);
 
@@ -73,8 +75,11 @@
     void close();
 
 private:
+    std::optional<std::uint64_t> eraOf(const boost::beast::http::fields&) const;
+
     Loop& loop_;
     Support::Endpoint store_;
+    std::string eraHeader_;
     std::vector<std::shared_ptr<HttpClientConnection>> idle_;
     std::uint64_t count_ = 0;
     bool isClosed_ = false;
--- a/lib/Relay/AttemptCodec.cpp
+++ b/lib/Relay/AttemptCodec.cpp
@@ -8,7 +8,7 @@
 {
     const auto& httpRequest = request.request;
     Encoded encoded;
-    encoded.request = {request.serial, 0, request.canGoElsewhere, request.timeoutMicros, request.latencyTargetMicros, httpRequest.callerAttemptId, httpRequest.target, httpRequest.body};
+    encoded.request = {request.serial, 0, request.canGoElsewhere, request.timeoutMicros, request.latencyTargetMicros, httpRequest.callerAttemptId, request.account, httpRequest.target, httpRequest.body};
     AttemptContext context{request.instance, request.route, request.priority, request.isIdempotent, request.originService, httpRequest.method, httpRequest.host, httpRequest.headers};
     auto known = slotByContext_.find(context);
     if (known != slotByContext_.end()) {
@@ -50,6 +50,7 @@
     request.timeoutMicros = message.timeoutMicros;
     request.latencyTargetMicros = message.latencyTargetMicros;
     request.originService = context.originService;
+    request.account = std::move(message.account);
     request.request = {std::move(message.callerAttemptId), context.method, std::move(message.target), context.host, context.headers, std::move(message.body)};
     return request;
 }
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr std::uint32_t unauthorized = 401;
 constexpr std::uint32_t notFound = 404;
 constexpr std::uint32_t badGateway = 502;
 constexpr std::uint32_t serviceUnavailable = 503;
@@ -40,6 +41,17 @@
     return std::chrono::milliseconds(std::min<std::int64_t>(*millis, maximumMillis));
 }
 
+// Returns the client account's key of a request, which is "Token KEY"; empty if there is none.
+std::string keyOf(const IncomingRequest& incoming)
+{
+    constexpr std::string_view scheme = "token ";
+    auto value = incoming.fields[boost::beast::http::field::authorization];
+    std::string_view text(value.data(), value.size());
+    if (text.size() <= scheme.size() || !equalsIgnoringCase(text.substr(0, scheme.size()), scheme))
+        return {};
+    return std::string(text.substr(scheme.size()));
+}
+
 std::string secondsText(Duration duration)
 {
     constexpr double microsPerSecond = 1e6;
@@ -120,7 +132,7 @@
     auto& request = incoming.request;
     auto id = incoming.fields[boost::beast::string_view(headerNames_.callerAttemptId.data(), headerNames_.callerAttemptId.size())];
     request.callerAttemptId = std::string(id.data(), id.size());
-    request.headers = endToEndHeaders(incoming.fields, {"host", "expect", headerNames_.callerAttemptId, headerNames_.timeoutMillis, headerNames_.expectedInstance, headerNames_.originService});
+    request.headers = endToEndHeaders(incoming.fields, {"host", "expect", headerNames_.callerAttemptId, headerNames_.timeoutMillis, headerNames_.expectedInstance, headerNames_.originService, headerNames_.account});
     if (isEnding)
         return refuseUnrouted(caller, request, Reason::ShuttingDown, serviceUnavailable);
     if (!routes_)
@@ -128,12 +140,20 @@
     const auto* route = routes_->match(request.host, request.target);
     if (!route)
         return refuseUnrouted(caller, request, Reason::NoRoute, notFound);
+    const auto* account = routes_->hasAccounts() ? routes_->account(keyOf(incoming)) : nullptr;
+    if (routes_->hasAccounts() && !account && !route->isPublic)
+        return refuseUnrouted(caller, request, Reason::UnknownKey, unauthorized);
+    // The key must not reach servers or other nodes.
+    if (routes_->hasAccounts())
+        std::erase_if(request.headers, [](const Header& header) { return equalsIgnoringCase(header.name, "authorization"); });
 
     auto now = Support::monotonicNow();
     auto call = std::make_shared<Call>(loop_);
     call->caller = caller;
     call->routes = routes_;
     call->route = route;
+    call->account = account ? account->name : std::string();
+    call->priority = routes_->priority(*route, account);
     call->service = routes_->nextService(*route);
     call->arrivedAt = now;
     auto timeout = timeoutOf(incoming, headerNames_.timeoutMillis).value_or(route->timeout);
@@ -185,12 +205,13 @@
     message.serial = serial;
     message.instance = instance;
     message.route = call.route->name;
-    message.priority = call.route->priority;
+    message.priority = call.priority;
     message.isIdempotent = call.route->isIdempotent;
     message.canGoElsewhere = !call.ignoresSlowdown && call.attemptCount < firstAttemptDespiteSlowdown;
     message.timeoutMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(1, (call.deadline - now).count()));
     message.latencyTargetMicros = static_cast<std::uint32_t>(std::max<Duration::rep>(0, (std::min(call.targetTime, call.deadline) - now).count()));
     message.originService = settings_.service;
+    message.account = call.account;
     message.request = call.request;
     return message;
 }
@@ -317,7 +338,7 @@
     auto elapsed = Support::monotonicNow() - call->arrivedAt;
     bool isGood = response.status < firstServerError;
     auto server = call->triedServers.empty() ? std::string("-") : call->triedServers.back().node;
-    log_.line(isGood ? LogClass::Routine : LogClass::Notable, "call", "id={} route={} service={} config={} status={} reason={} server={} priority={} placements={} sent={} took_us={} goal_us={}", call->request.callerAttemptId, call->route->name, call->service, call->routes->version(), response.status, Support::nameOf(reasonNames, reason), server, call->route->priority, call->attemptCount, call->serverAttemptCount, elapsed.count(), call->route->targetLatency.count());
+    log_.line(isGood ? LogClass::Routine : LogClass::Notable, "call", "id={} route={} account={} service={} config={} status={} reason={} server={} priority={} placements={} sent={} took_us={} goal_us={}", call->request.callerAttemptId, call->route->name, call->account, call->service, call->routes->version(), response.status, Support::nameOf(reasonNames, reason), server, call->priority, call->attemptCount, call->serverAttemptCount, elapsed.count(), call->route->targetLatency.count());
     metrics_.add(fmt::format("balsamreel_calls_total{{status=\"{}\",reason=\"{}\"}}", response.status, Support::nameOf(reasonNames, reason)));
     metrics_.observe("balsamreel_call_seconds", static_cast<double>(elapsed.count()) / 1e6);
     call->timer.cancel();
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -144,6 +144,7 @@
     ticket.id = nextTicket_++;
     ticket.route = request.route;
     ticket.priority = request.priority;
+    ticket.caller = request.account; // accounts share a server that is full
     ticket.deadline = queueDeadline_.deadline(now, request);
     auto decision = admission_.submit(now, ticket);
     if (const auto* refused = std::get_if<Admission::Refused>(&decision)) {
@@ -209,6 +210,8 @@
     headers.push_back({names_.timeoutMillis, std::to_string(remaining)});
     headers.push_back({names_.expectedInstance, attempt.request.instance});
     headers.push_back({names_.originService, attempt.request.originService});
+    if (!attempt.request.account.empty())
+        headers.push_back({names_.account, attempt.request.account});
     return headers;
 }
 
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -66,7 +66,7 @@
     , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
     , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }})
     , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, log_, metrics_)
-    , storeCalls_(loop, settings_.store)
+    , storeCalls_(loop, settings_.store, codec_.store.eraHeader)
     , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configWatchPause, incarnation_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
         for (const auto& object : objects)
             if (object.name == codec_.configName)
@@ -436,6 +436,11 @@
     settings_.retrySlack = settings.retrySlack;
     settings_.retryWindow = settings.retryWindow;
     settings_.probesPerSecond = settings.probesPerSecond;
+    settings_.quotaWindow = settings.quotaWindow;
+    settings_.quotaOverage = settings.quotaOverage;
+    settings_.quotaSlack = settings.quotaSlack;
+    settings_.coldOverage = settings.coldOverage;
+    settings_.coldSlack = settings.coldSlack;
     settings_.maximumDescriptors = settings.maximumDescriptors;
     guard_.applySettings();
     entry_.applySettings();
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -155,6 +155,7 @@
 {
     archive(request.serial, request.contextSlot, request.canGoElsewhere, request.timeoutMicros, request.latencyTargetMicros);
     longText(archive, request.callerAttemptId);
+    longText(archive, request.account);
     longText(archive, request.target);
     longText(archive, request.body);
 }
--- a/lib/Relay/RouteTable.cpp
+++ b/lib/Relay/RouteTable.cpp
@@ -16,6 +16,18 @@
     return name;
 }
 
+void sortDistinct(std::vector<std::uint32_t>& values)
+{
+    std::ranges::sort(values);
+    auto repeated = std::ranges::unique(values);
+    values.erase(repeated.begin(), repeated.end());
+}
+
+std::uint32_t rankOf(const std::vector<std::uint32_t>& values, std::uint32_t value)
+{
+    return static_cast<std::uint32_t>(std::ranges::lower_bound(values, value) - values.begin());
+}
+
 } // namespace
 
 RouteTable::RouteTable(RoutingConfig config)
@@ -29,6 +41,29 @@
         std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) { return left->prefix.size() > right->prefix.size(); });
     for (const auto& service : config_.services)
         services_[service.name] = &service;
+    for (const auto& route : config_.routes)
+        routePriorities_.push_back(route.priority);
+    for (const auto& account : config_.accounts) {
+        accountPriorities_.push_back(account.priority.value_or(0));
+        for (const auto& key : account.keys)
+            accounts_[key] = &account;
+    }
+    sortDistinct(routePriorities_);
+    sortDistinct(accountPriorities_);
+}
+
+const ClientAccount* RouteTable::account(const std::string& key) const
+{
+    auto found = accounts_.find(key);
+    return found == accounts_.end() ? nullptr : found->second;
+}
+
+std::uint32_t RouteTable::priority(const Route& route, const ClientAccount* account) const
+{
+    if (!hasAccounts())
+        return route.priority;
+    auto accountRank = account ? rankOf(accountPriorities_, account->priority.value_or(0)) : 0;
+    return accountRank * static_cast<std::uint32_t>(routePriorities_.size()) + rankOf(routePriorities_, route.priority);
 }
 
 const Route* RouteTable::match(std::string_view host, std::string_view target) const
--- a/lib/Relay/StoreCalls.cpp
+++ b/lib/Relay/StoreCalls.cpp
@@ -1,15 +1,23 @@
 #include "balsamreel/Relay/StoreCalls.h"
 
 #include "balsamreel/Relay/HttpText.h"
+#include "balsamreel/Support/Numbers.h"
 
 namespace balsamreel::Relay {
 
-StoreCalls::StoreCalls(Loop& loop, Support::Endpoint store)
+StoreCalls::StoreCalls(Loop& loop, Support::Endpoint store, std::string eraHeader)
     : loop_(loop)
     , store_(std::move(store))
+    , eraHeader_(std::move(eraHeader))
 {
 }
 
+std::optional<std::uint64_t> StoreCalls::eraOf(const boost::beast::http::fields& fields) const
+{
+    auto value = fields[boost::beast::string_view(eraHeader_.data(), eraHeader_.size())];
+    return Support::parseNumber<std::uint64_t>(std::string_view(value.data(), value.size()));
+}
+
 void StoreCalls::call(const StoreCall& call, Duration timeout, Done done)
 {
     if (isClosed_)
@@ -52,7 +60,7 @@
             idle_.push_back(connection);
         StoreReply reply;
         if (auto* response = std::get_if<HttpResponse>(&result))
-            reply = {response->status, std::move(response->body)};
+            reply = {response->status, std::move(response->body), eraOf(response->fields)};
         auto callback = std::move(*sharedDone);
         *sharedDone = nullptr;
         callback(std::move(reply));
--- a/unittests/Relay/RouteTableTest.cpp
+++ b/unittests/Relay/RouteTableTest.cpp
@@ -57,4 +57,22 @@
         RC_ASSERT(counts[target.service] == 2 * target.weight);
 }
 
+TEST(RouteTable, FindsAccountsByKeyAndOrdersThemBeforeRoutes)
+{
+    auto routes = config({route("a.example", "/x/", {{"one", 1}}), route("a.example", "/y/", {{"one", 1}})});
+    routes.routes[0].priority = 3;
+    routes.routes[1].priority = 7;
+    EXPECT_EQ(RouteTable(routes).priority(routes.routes[0], nullptr), 3U) << "without accounts, that of the route";
+    routes.accounts = {{"urgent", {"k1", "k2"}, 1}, {"patient", {"k3"}, 5}};
+    RouteTable table(routes);
+    EXPECT_EQ(table.account("k2")->name, "urgent");
+    EXPECT_EQ(table.account("k3")->name, "patient");
+    EXPECT_EQ(table.account(""), nullptr);
+    const auto& first = *table.match("a.example", "/x/");
+    const auto& second = *table.match("a.example", "/y/");
+    EXPECT_LT(table.priority(first, table.account("k1")), table.priority(second, table.account("k1")));
+    EXPECT_LT(table.priority(second, table.account("k1")), table.priority(first, table.account("k3")));
+    EXPECT_LE(table.priority(first, nullptr), table.priority(first, table.account("k1")));
+}
+
 } // namespace balsamreel::Relay
