Take a body without a length for whole only if the request was written

Cause: when a server resets the connection while a request is written, the failed write takes the error from the socket; the read after it reports an orderly end of the stream, which completes a body without a length. Statuses below 100 and 101 were skipped as interim responses, and those from 600 on were taken. Change: a body that ends with the stream waits for the end of the write and is lost if that failed. Statuses outside 100 to 599, and 101, are malformed.

--- a/include/balsamreel/Relay/HttpClientConnection.h
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -103,7 +103,9 @@
     bool isHead_ = false;
     bool isConnected_ = false;
     bool isReading_ = false;
+    bool isWriting_ = false; ///< the request
     bool isRequestWritten_ = false;
+    bool hasStreamEnded_ = false; ///< the server has ended its sending side
     bool isClosed_ = false;
     bool isClosing_ = false; ///< no further request may use this connection
     Instant idleSince_;
--- a/lib/Relay/HttpClientConnection.cpp
+++ b/lib/Relay/HttpClientConnection.cpp
@@ -30,7 +30,15 @@
 constexpr Duration idleTimeoutMargin = std::chrono::milliseconds(900);
 // Bounds the memory for the values of the matched header that a connection remembers.
 constexpr std::size_t maximumMatchedRequests = 1000;
+constexpr std::uint32_t firstStatus = 100;
+constexpr std::uint32_t switchingProtocols = 101; // never asked for
 constexpr std::uint32_t firstFinalStatus = 200;
+constexpr std::uint32_t lastStatus = 599;
+
+bool isValidStatus(std::uint32_t status)
+{
+    return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+}
 
 } // namespace
 
@@ -61,6 +69,8 @@
     isHead_ = isHead;
     done_ = std::move(done);
     isRequestWritten_ = false;
+    isWriting_ = true;
+    hasStreamEnded_ = false;
     skippedResponses_ = 0;
     ++requestCount_;
     if (!match_.header.empty())
@@ -100,8 +110,11 @@
             return;
         // The failure is left to the read handler, which detects it too and may still receive a response sent before it.
         self->isRequestWritten_ = !error;
+        self->isWriting_ = false;
         if (error)
             self->isClosing_ = true;
+        if (self->hasStreamEnded_ && self->done_)
+            self->onEndOfStream();
     });
     if (!isReading_)
         read();
@@ -173,9 +186,17 @@
     return memoryBudget_->held <= memoryBudget_->limit;
 }
 
+// The end of the stream completes a body without a length only if the connection was not reset. A failed write may have taken
+// the error of a reset from the socket, so that the read reports an orderly end; then the body may be incomplete.
 void HttpClientConnection::onEndOfStream()
 {
     isClosing_ = true;
+    hasStreamEnded_ = true;
+    bool endsWithStream = parser_->is_header_done() && parser_->need_eof();
+    if (endsWithStream && isWriting_)
+        return;
+    if (endsWithStream && !isRequestWritten_)
+        return finish(HttpFailure::ConnectionLost);
     boost::system::error_code error;
     if (parser_->got_some())
         parser_->put_eof(error);
@@ -207,6 +228,10 @@
 {
     auto& message = parser_->get();
     auto status = message.result_int();
+    if (!isValidStatus(status)) {
+        finish(HttpFailure::Malformed);
+        return true;
+    }
     if (status < firstFinalStatus)
         return skipResponse();
     if (!match_.header.empty()) {
