Account limits: one token bucket per account, in shards over the nodes

Cause: nothing limits the requests of a client account; the bound sums over all nodes, in touch or not. Change: the limit of an account is divided into equal token buckets on the nodes that rank highest for it (all nodes for a large account). A node spends its own shard first and leases tokens of other shards when it has none. A shard moves only when the list of known nodes changes, never because a node can't be reached, so nodes that are cut off need no agreement. Refusals are 429 with Retry-After; permits of requests that never ran are returned while their lease lasts. Not run yet: 1,400 nodes, real nodes.

--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "balsamreel/Balance/Balancer.h"
+#include "balsamreel/Relay/AccountLimits.h"
 #include "balsamreel/Relay/CallerConnection.h"
 #include "balsamreel/Relay/EventLog.h"
 #include "balsamreel/Relay/Guard.h"
@@ -24,7 +25,7 @@
 
 class Entry {
 public:
-    Entry(Loop&, const NodeSettings&, HeaderNames, std::uint64_t incarnation, Guard&, Peers&, EventLog&, Support::Metrics&);
+    Entry(Loop&, const NodeSettings&, HeaderNames, std::uint64_t incarnation, Guard&, Peers&, AccountLimits&, EventLog&, Support::Metrics&);
 
     void setRoutes(std::shared_ptr<RouteTable> routes) { routes_ = std::move(routes); }
 
@@ -60,6 +61,7 @@
         std::shared_ptr<RouteTable> routes; ///< keeps `route` valid
         const Route* route = nullptr;
         std::string account; ///< client account; empty: none
+        std::optional<Quota::Permit> permit; ///< counts against the limit of the account
         std::uint32_t priority = 0; ///< 0 is the most urgent
         std::string service;
         Request request;
@@ -85,6 +87,9 @@
 
     void updateServers();
     void refuseUnrouted(const CallerRequest&, const Request&, Reason, std::uint32_t status);
+    void onQuotaDecision(const CallPointer&, const Quota::Decision&);
+    void refuseOverQuota(const CallPointer&, Duration retryAfter);
+    void start(const CallPointer&);
     void startNextAttempt(const CallPointer&, NotRun fallback);
     void sendAttempt(const CallPointer&, const Balance::Choice&, const std::string& instance);
     void onOutcome(const CallPointer&, std::uint64_t serial, const Outcome&, const Wire::LoadStamp&);
@@ -97,6 +102,7 @@
     void cancelAttempt(const CallPointer&);
     void finish(const CallPointer&, const ServerResponse&, Reason);
     void refuse(const CallPointer&, const NotRun&);
+    std::string retryAfterText(Duration wait);
     void fail(const CallPointer&, Reason, std::uint32_t status);
     AttemptRequest makeAttemptRequest(const Call&, std::uint64_t serial, const std::string& instance, Instant now) const;
     std::optional<std::string> instanceOf(const Balance::ServerId&) const;
@@ -107,6 +113,7 @@
     std::uint64_t incarnation_;
     Guard& guard_;
     Peers& peers_;
+    AccountLimits& accountLimits_;
     EventLog& log_;
     Support::Metrics& metrics_;
     std::shared_ptr<RouteTable> routes_;
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -1,6 +1,7 @@
 // The event-driven daemon: listeners, store followers, startup and shutdown.
 #pragma once
 
+#include "balsamreel/Relay/AccountLimits.h"
 #include "balsamreel/Relay/CallerConnection.h"
 #include "balsamreel/Relay/Entry.h"
 #include "balsamreel/Relay/EventLog.h"
@@ -101,6 +102,7 @@
     EventLog log_;
     Guard guard_;
     Peers peers_;
+    AccountLimits accountLimits_;
     Entry entry_;
     StoreCalls storeCalls_;
     StoreFollower configFollower_;
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsamreel/Admission/SaturationDetector.h"
+#include "balsamreel/Quota/AccountLimiter.h"
 #include "balsamreel/Relay/Model.h"
 #include "balsamreel/Wire/Headers.h"
 
@@ -176,7 +177,7 @@
 
 struct Pong { };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery>;
+using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery, Quota::TokenRequest, Quota::TokenReply>;
 
 /// Returns a complete frame, including its length field.
 std::string encodeFrame(const PeerMessage&);
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -40,6 +40,8 @@
         std::function<bool()> isFollowingStore;
         std::function<void()> onServersChanged;
         std::function<void(const std::string& node, const Support::Endpoint& server, bool isSlowed)> onSlowdownChange; ///< only for nodes of the same failure domain
+        std::function<Quota::TokenReply(const Quota::TokenRequest&)> onTokenRequest;
+        std::function<void(const std::string& node, const Quota::TokenReply&)> onTokenReply;
     };
 
     Peers(Loop&, const NodeSettings&, std::uint64_t incarnation, Guard&, EventLog&, Host);
@@ -55,6 +57,18 @@
     std::vector<PeerServer> servers() const;
     std::size_t knownCount() const { return peers_.size(); }
 
+    /// Names of the known nodes, reachable or not, in ascending order.
+    std::vector<std::string> knownNames() const;
+
+    /// Changes whenever knownNames() does.
+    std::uint64_t knownRevision() const { return knownRevision_; }
+
+    /// Whether a connected node has sent the list of its peers.
+    bool hasReceivedList() const { return hasReceivedList_; }
+
+    /// Sends a message to a connected node. Returns false if the node is not connected.
+    bool send(const std::string& node, const PeerMessage&);
+
     /// Sends an attempt. The callback is called once, unless the attempt is cancelled. If the connection is lost, the outcome of
     /// an idempotent attempt is Unknown; that of any other is queried until its deadline.
     void sendAttempt(const std::string& node, const AttemptRequest&, Guard::Done);
@@ -168,6 +182,8 @@
     std::uint64_t newestVersion_ = 0; ///< highest configuration version announced by any peer
     Instant lastConfigQuery_;
     std::size_t nextStateQueryPeer_ = 0;
+    std::uint64_t knownRevision_ = 0;
+    bool hasReceivedList_ = false;
     bool isClosed_ = false;
 };
 
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace balsamreel::Relay {
 
@@ -14,6 +15,7 @@
 
 constexpr std::uint32_t unauthorized = 401;
 constexpr std::uint32_t notFound = 404;
+constexpr std::uint32_t tooManyRequests = 429;
 constexpr std::uint32_t badGateway = 502;
 constexpr std::uint32_t serviceUnavailable = 503;
 constexpr std::uint32_t gatewayTimeout = 504;
@@ -60,13 +62,14 @@
 
 } // namespace
 
-Entry::Entry(Loop& loop, const NodeSettings& settings, HeaderNames headerNames, std::uint64_t incarnation, Guard& guard, Peers& peers, EventLog& log, Support::Metrics& metrics)
+Entry::Entry(Loop& loop, const NodeSettings& settings, HeaderNames headerNames, std::uint64_t incarnation, Guard& guard, Peers& peers, AccountLimits& accountLimits, EventLog& log, Support::Metrics& metrics)
     : loop_(loop)
     , settings_(settings)
     , headerNames_(std::move(headerNames))
     , incarnation_(incarnation)
     , guard_(guard)
     , peers_(peers)
+    , accountLimits_(accountLimits)
     , log_(log)
     , metrics_(metrics)
     , balancer_(settings.domain, incarnation, settings.otherDomainCost)
@@ -161,12 +164,41 @@
     call->targetTime = now + route->targetLatency;
     call->request = std::move(request);
     calls_[caller] = call;
-    retryBudget_.recordRequest(now, call->service);
     call->timer.expires_after(call->deadline - now);
     call->timer.async_wait([this, call](const boost::system::error_code& cancelled) {
         if (!cancelled)
             onDeadline(call);
     });
+    if (!account || !accountLimits_.hasLimit(account->name))
+        return start(call);
+    accountLimits_.acquire(account->name, [this, call](const Quota::Decision& decision) { onQuotaDecision(call, decision); });
+}
+
+void Entry::onQuotaDecision(const CallPointer& call, const Quota::Decision& decision)
+{
+    const auto* permit = std::get_if<Quota::Permit>(&decision);
+    if (!call->caller.connection) {
+        if (permit)
+            accountLimits_.giveBack(call->account, *permit);
+        return;
+    }
+    if (!permit)
+        return refuseOverQuota(call, std::get<Quota::Refusal>(decision).retryAfter);
+    call->permit = *permit;
+    start(call);
+}
+
+void Entry::refuseOverQuota(const CallPointer& call, Duration retryAfter)
+{
+    ServerResponse response;
+    response.status = tooManyRequests;
+    response.headers.push_back({"Retry-After", retryAfterText(retryAfter)});
+    finish(call, response, Reason::QuotaExceeded);
+}
+
+void Entry::start(const CallPointer& call)
+{
+    retryBudget_.recordRequest(Support::monotonicNow(), call->service);
     startNextAttempt(call, {Reason::NoServer, retryAfterWithoutServers, false});
 }
 
@@ -316,14 +348,20 @@
         return finish(call, *call->errorResponse, refusal.reason);
     if (call->mayHaveRun)
         return fail(call, refusal.reason, badGateway);
+    if (call->permit)
+        accountLimits_.giveBack(call->account, *std::exchange(call->permit, std::nullopt));
     ServerResponse response;
     response.status = serviceUnavailable;
     auto wait = std::max(shortestRetryAfter, call->shortestWait.value_or(refusal.expectedWait));
-    wait += Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * retryAfterJitter * random_.fraction()));
-    response.headers.push_back({"Retry-After", secondsText(wait)});
+    response.headers.push_back({"Retry-After", retryAfterText(wait)});
     finish(call, response, refusal.reason);
 }
 
+std::string Entry::retryAfterText(Duration wait)
+{
+    return secondsText(wait + Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * retryAfterJitter * random_.fraction())));
+}
+
 void Entry::fail(const CallPointer& call, Reason reason, std::uint32_t status)
 {
     if (call->errorResponse)
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -64,8 +64,9 @@
     , incarnation_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
     , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
-    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }})
-    , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, log_, metrics_)
+    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }, [this](const Quota::TokenRequest& request) { return accountLimits_.onRequest(request); }, [this](const std::string& node, const Quota::TokenReply& reply) { accountLimits_.onReply(node, reply); }})
+    , accountLimits_(loop, settings_, incarnation_, peers_, log_, metrics_)
+    , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, accountLimits_, log_, metrics_)
     , storeCalls_(loop, settings_.store, codec_.store.eraHeader)
     , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configWatchPause, incarnation_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
         for (const auto& object : objects)
@@ -255,6 +256,7 @@
     auto routes = std::make_shared<RouteTable>(std::move(*config));
     const auto* ownService = routes->service(settings_.service);
     guard_.setHealthPath(ownService ? ownService->healthPath : std::string());
+    accountLimits_.setAccounts(routes->config().accounts);
     entry_.setRoutes(std::move(routes));
     peers_.publishVersion();
 }
@@ -348,6 +350,7 @@
     followSettings(now);
     peers_.tick(now);
     guard_.tick(now);
+    accountLimits_.tick(now, directory_.hasSeenOwnRecord() || peers_.hasReceivedList());
     followStore(now);
     queryPeers(now);
     tick_.expires_after(tickInterval);
@@ -443,6 +446,7 @@
     settings_.coldSlack = settings.coldSlack;
     settings_.maximumDescriptors = settings.maximumDescriptors;
     guard_.applySettings();
+    accountLimits_.applySettings();
     entry_.applySettings();
 }
 
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -18,6 +18,24 @@
 
 } // namespace balsamreel::Wire
 
+namespace balsamreel::Quota {
+
+template <typename Archive>
+void serialize(Archive& archive, TokenRequest& request)
+{
+    archive(request.serial, request.count);
+    Wire::serializeText(archive, request.account, std::numeric_limits<std::uint16_t>::max());
+}
+
+template <typename Archive>
+void serialize(Archive& archive, TokenReply& reply)
+{
+    archive(reply.serial, reply.count, reply.waitMicros);
+    Wire::serializeText(archive, reply.account, std::numeric_limits<std::uint16_t>::max());
+}
+
+} // namespace balsamreel::Quota
+
 namespace balsamreel::Relay {
 
 namespace {
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -142,6 +142,8 @@
         shareConfig(connection, configQuery->configVersion);
     else if (const auto* update = std::get_if<VersionUpdate>(&message))
         onInboundVersion(*inbound, update->configVersion);
+    else if (const auto* tokenRequest = std::get_if<Quota::TokenRequest>(&message))
+        connection->send(host_.onTokenRequest(*tokenRequest));
     else if (std::holds_alternative<Ping>(message))
         connection->send(Pong());
 }
@@ -254,8 +256,10 @@
         if (record.name == self_.name || isClosed_)
             continue;
         auto& peer = peers_[record.name];
-        if (!peer)
+        if (!peer) {
             peer = std::make_shared<Peer>();
+            ++knownRevision_;
+        }
         bool hasMoved = peer->record.peerAddress != record.peerAddress;
         peer->record = record;
         if (hasMoved && peer->connection) {
@@ -273,10 +277,11 @@
     std::set<std::string> listedNames;
     for (const auto& record : records)
         listedNames.insert(record.name);
-    std::erase_if(peers_, [&](const auto& known) {
+    auto removed = std::erase_if(peers_, [&](const auto& known) {
         const auto& [name, peer] = known;
         return !listedNames.contains(name) && !peer->connection && !peer->isConnecting && peer->pending.empty() && peer->failures > 0;
     });
+    knownRevision_ += removed;
 }
 
 void Peers::dial(const PeerPointer& peer)
@@ -359,8 +364,12 @@
         peer->isFollowingStore = update->isFollowingStore;
         return;
     }
-    if (const auto* list = std::get_if<PeerList>(&message))
+    if (const auto* reply = std::get_if<Quota::TokenReply>(&message))
+        return host_.onTokenReply(peer->record.name, *reply);
+    if (const auto* list = std::get_if<PeerList>(&message)) {
+        hasReceivedList_ = true;
         return addNodes(list->peers);
+    }
     if (const auto* document = std::get_if<ConfigDocument>(&message))
         applyConfig(*peer, *document);
 }
@@ -452,6 +461,23 @@
     return candidates;
 }
 
+std::vector<std::string> Peers::knownNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, peer] : peers_)
+        names.push_back(name);
+    return names;
+}
+
+bool Peers::send(const std::string& node, const PeerMessage& message)
+{
+    auto known = peers_.find(node);
+    if (known == peers_.end() || !known->second->isHandshakeDone || !known->second->connection)
+        return false;
+    known->second->connection->send(message);
+    return true;
+}
+
 std::vector<PeerServer> Peers::servers() const
 {
     std::vector<PeerServer> servers;
