--- a/include/balsamreel/Admission/RequestRateLimiter.h
+++ b/include/balsamreel/Admission/RequestRateLimiter.h
@@ -12,6 +12,9 @@
 /// A token bucket whose last tokens are reserved for urgent requests, so that the least urgent ones are refused first.
 class RequestRateLimiter {
 public:
+    /// The burst is the number of requests that may be sent at once; null: in proportion to the limit.
+    explicit RequestRateLimiter(std::optional<double> burst = std::nullopt);
+
     /// Sets the limit in requests per second; null ends it.
     void setLimit(Support::Instant now, std::optional<double> requestsPerSecond);
     std::optional<double> limit() const { return limit_; }
@@ -25,6 +28,14 @@
     /// Returns the room of a request that was not sent.
     void giveBack();
 
+    /// Reserves room for a request that is sent later. It is taken only then, so that requests that have waited together do
+    /// not exceed the limit together.
+    bool tryReserve(Support::Instant now, unsigned priority);
+
+    /// Takes room for a request that has a reservation. Returns false if the reservation no longer holds.
+    bool takeReserved(Support::Instant now);
+    void cancelReservation();
+
     /// Returns the time until there is room for one request of this priority.
     Support::Duration timeUntilRoom(Support::Instant now, unsigned priority) const;
 
@@ -35,11 +46,14 @@
 private:
     double rate() const;
     double capacity() const;
-    double reserved(unsigned priority) const;
+    double reservedForUrgent(unsigned priority) const;
+    double requiredLevel(unsigned priority) const;
     double levelAt(Support::Instant now) const;
     void refill(Support::Instant now);
 
+    std::optional<double> burst_;
     std::optional<double> limit_;
+    std::uint32_t reservations_ = 0;
     double level_ = 0; ///< requests that may be sent at once, as of refilledAt_
     Support::Instant refilledAt_;
     Support::Instant nextReturn_; ///< when the request that is refused next should return
--- a/lib/Admission/RequestRateLimiter.cpp
+++ b/lib/Admission/RequestRateLimiter.cpp
@@ -29,6 +29,11 @@
 
 } // namespace
 
+RequestRateLimiter::RequestRateLimiter(std::optional<double> burst)
+    : burst_(burst)
+{
+}
+
 double RequestRateLimiter::rate() const
 {
     return std::max(minimumRate, limit_.value_or(0));
@@ -36,14 +41,19 @@
 
 double RequestRateLimiter::capacity() const
 {
-    return rate() * burstSeconds + minimumBurst;
+    return burst_ ? std::max(1.0, *burst_) : rate() * burstSeconds + minimumBurst;
 }
 
-double RequestRateLimiter::reserved(unsigned priority) const
+double RequestRateLimiter::reservedForUrgent(unsigned priority) const
 {
     return (capacity() - 1) * reservedSharePerPriority * std::min(priority, lowestDistinctPriority);
 }
 
+double RequestRateLimiter::requiredLevel(unsigned priority) const
+{
+    return 1 + reservations_ + reservedForUrgent(priority);
+}
+
 double RequestRateLimiter::levelAt(Instant now) const
 {
     double elapsed = static_cast<double>(std::max(Duration::zero(), now - refilledAt_).count()) / microsPerSecond;
@@ -65,6 +75,8 @@
     else
         level_ = 1;
     limit_ = requestsPerSecond;
+    if (!limit_)
+        reservations_ = 0;
     level_ = std::min(level_, capacity());
     refilledAt_ = now;
 }
@@ -82,7 +94,7 @@
     if (!limit_)
         return true;
     refill(now);
-    if (level_ < 1 + reserved(priority))
+    if (level_ < requiredLevel(priority))
         return false;
     level_ -= 1;
     return true;
@@ -94,11 +106,37 @@
         level_ = std::min(capacity(), level_ + 1);
 }
 
+bool RequestRateLimiter::tryReserve(Instant now, unsigned priority)
+{
+    refill(now);
+    if (level_ < requiredLevel(priority))
+        return false;
+    ++reservations_;
+    return true;
+}
+
+bool RequestRateLimiter::takeReserved(Instant now)
+{
+    refill(now);
+    if (reservations_ == 0 || level_ < 1)
+        return false;
+    --reservations_;
+    level_ -= 1;
+    return true;
+}
+
+// A reservation ends with the limit under which it was made.
+void RequestRateLimiter::cancelReservation()
+{
+    if (reservations_ > 0)
+        --reservations_;
+}
+
 Duration RequestRateLimiter::timeUntilRoom(Instant now, unsigned priority) const
 {
     if (!limit_)
         return Duration::zero();
-    return seconds(std::max(0.0, 1 + reserved(priority) - levelAt(now)) / rate());
+    return seconds(std::max(0.0, requiredLevel(priority) - levelAt(now)) / rate());
 }
 
 Duration RequestRateLimiter::scheduleReturn(Instant now, unsigned priority)
