Cold servers and evacuated failure domains at the guard

A cold server was sent whatever its slots took, and an operator who took a failure domain out of service was not heard. The guard now holds a cold server to its rate (server-cold), asks its health while requests go to it, and tells the entries with load stamp and status. Evacuations are followed by the watchers of the configuration where settings name the bound, spread between nodes as a document ordered by the store's era and revision, and carried out by the guards of the domain (domain-evacuated). A starting node learns of evacuations before it takes a configuration.

StoreFollower hands on its position and the changes of one watch together, and lists again when the store's era changes.

The tests with complete nodes are not run yet.

--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsamreel/Admission/AdmissionController.h"
+#include "balsamreel/Admission/ColdServerLimiter.h"
 #include "balsamreel/Admission/RequestRateLimiter.h"
 #include "balsamreel/Admission/SaturationDetector.h"
 #include "balsamreel/Relay/CompletedAttempts.h"
@@ -67,8 +68,12 @@
     /// The node is leaving: refuses new attempts, and status() reports no server any more.
     void close();
 
-    /// Sets the path of the server's health check. The server is not probed while the path is empty.
-    void setHealthPath(const std::string& path);
+    /// Sets the configuration of the server's service. The server is not probed while it has no health path.
+    void setServiceConfig(const ServiceConfig&);
+
+    /// Sets whether the operator has taken the node's failure domain out of service. If so, queued and new attempts are
+    /// refused, and status() reports no server. Afterwards the server counts as cold.
+    void setEvacuated(bool isEvacuated);
 
     ServerStatus status() const;
 
@@ -81,6 +86,11 @@
     /// The limit that the server has named, in requests per second.
     std::optional<double> rateLimit() const { return rateLimiter_.limit(); }
 
+    /// Whether the server takes only a limited rate of requests because it is cold.
+    bool isServerCold() const { return cold_.isCold(); }
+
+    bool isEvacuated() const { return isEvacuated_; }
+
     /// Number of requests sent to the server, without health probes.
     std::uint64_t sentCount() const { return sentCount_; }
 
@@ -104,6 +114,7 @@
         Instant startedAt;
         std::uint32_t runningAtStart = 0; ///< attempts at the server, including this one
         bool hasRateRoom = false; ///< it has taken room under the server's limit
+        bool hasColdRoom = false; ///< it has a reservation under the limit of a cold server
         bool wasSlowed = false; ///< whether the server was slowed down when it started
         std::shared_ptr<HttpClientConnection> connection; ///< set once the attempt runs
     };
@@ -114,6 +125,12 @@
     void startOrHold(std::uint64_t ticket);
     void start(std::uint64_t ticket);
     void probeSlowdown();
+    void setHealthPath(const std::string&);
+    void updateColdOptions();
+    void updateColdState();
+    void recordColdTime(const Announcement&);
+    std::optional<Duration> statedColdTime(const HttpResponse&) const;
+    void refuseWaiting(Reason);
     void onProbeResult(const HttpResult&);
     void discover();
     void onDiscoveryResponse(const HttpResult&);
@@ -143,6 +160,7 @@
     LocalServer server_;
     Admission::AdmissionController admission_;
     Admission::RequestRateLimiter rateLimiter_;
+    Admission::ColdServerLimiter cold_;
     Admission::SaturationDetector saturation_;
     PersistedServerState persistedState_;
     bool hasRestoredState_ = false;
@@ -158,6 +176,7 @@
     CompletedAttempts completed_;
     StartPolicy startPolicy_;
     std::vector<std::uint64_t> held_; ///< tickets of admitted attempts that the start policy holds
+    ServiceConfig serviceConfig_;
     std::string healthPath_;
     std::shared_ptr<HttpClientConnection> probeConnection_;
     boost::asio::steady_timer probeTimer_;
@@ -171,6 +190,7 @@
     std::vector<std::shared_ptr<HttpClientConnection>> idleConnections_; ///< most recently used last
     boost::asio::steady_timer tickTimer_;
     bool isTickScheduled_ = false;
+    bool isEvacuated_ = false;
     bool isClosed_ = false;
 };
 
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -224,6 +224,8 @@
     double quotaSlack = 0; ///< requests by which an account may exceed its limit in a window, besides
     double coldOverage = 1; ///< factor by which the requests to a cold server may exceed its limit in a second
     double coldSlack = 0; ///< requests by which they may exceed it, besides
+    bool followsEvacuations = false; ///< the operator may take failure domains out of service
+    Duration storeRecoveryTime = std::chrono::seconds(15); ///< in which others write again what a store from an older copy lacks
     Duration otherDomainCost = std::chrono::milliseconds(100); ///< waiting time that is accepted to avoid traffic between failure domains
 };
 
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -3,6 +3,7 @@
 
 #include "balsamreel/Relay/CallerConnection.h"
 #include "balsamreel/Relay/Entry.h"
+#include "balsamreel/Relay/Evacuations.h"
 #include "balsamreel/Relay/EventLog.h"
 #include "balsamreel/Relay/Guard.h"
 #include "balsamreel/Relay/NodeDirectory.h"
@@ -72,6 +73,12 @@
     ServerResponse onLeave(const ServerLeaveRequest&);
     bool isReady() const;
     void applyConfig(const std::string& content, std::string_view source);
+    void applyEvacuations(EvacuationDocument, std::string_view source);
+    void applyEvacuationListing(const std::vector<StoredObject>&, const StorePosition&);
+    void applyEvacuationChanges(const std::vector<StoredObject>&, const StorePosition&);
+    bool mayLoadConfig(Instant now) const;
+    void pollStore(Instant now);
+    void compareWithPeer(Instant now);
     void applyNodeListing(const std::vector<StoredObject>&);
     void restore(const std::optional<std::string>& content);
     std::string ownRecord() const;
@@ -99,11 +106,13 @@
     std::uint64_t incarnation_;
     Support::Metrics metrics_;
     EventLog log_;
+    Evacuations evacuations_;
     Guard guard_;
     Peers peers_;
     Entry entry_;
     StoreCalls storeCalls_;
     StoreFollower configFollower_;
+    StoreFollower evacuationFollower_;
     NodeDirectory directory_;
     WatcherSelection watcherSelection_;
     boost::asio::ip::tcp::acceptor callerAcceptor_;
@@ -125,6 +134,7 @@
     Instant lastVersionComparison_;
     Instant lastWatcherSelection_;
     Instant lastPoll_;
+    bool hasListedEvacuations_ = false; ///< from the store, since the start
     bool publishedFollowing_ = false; ///< as last published to the peers
     bool isShuttingDown_ = false;
 };
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsamreel/Admission/SaturationDetector.h"
+#include "balsamreel/Relay/Evacuations.h"
 #include "balsamreel/Relay/Model.h"
 #include "balsamreel/Wire/Headers.h"
 
@@ -104,6 +105,11 @@
     std::string compressedText;
 };
 
+/// The evacuated failure domains that the sender knows of. The receiver replies with its own if they are newer.
+struct EvacuationUpdate {
+    EvacuationDocument document;
+};
+
 /// Requests one attempt at the server beside the receiver.
 struct AttemptRequest {
     std::uint64_t serial = 0; ///< unique per incarnation of the sender
@@ -176,7 +182,7 @@
 
 struct Pong { };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery>;
+using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery, EvacuationUpdate>;
 
 /// Returns a complete frame, including its length field.
 std::string encodeFrame(const PeerMessage&);
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -38,6 +38,8 @@
         std::function<std::string()> configText;
         std::function<void(const std::string&)> onConfigText; ///< a peer has sent a newer configuration
         std::function<bool()> isFollowingStore;
+        std::function<const EvacuationDocument&()> evacuations;
+        std::function<void(const EvacuationDocument&)> onEvacuations; ///< a peer has sent its document, which may be no newer
         std::function<void()> onServersChanged;
         std::function<void(const std::string& node, const Support::Endpoint& server, bool isSlowed)> onSlowdownChange; ///< only for nodes of the same failure domain
     };
@@ -69,6 +71,12 @@
     /// Compares the version with one node, for nodes that missed an announcement.
     void compareVersion();
 
+    /// Sends the evacuated failure domains to some nodes, which send them on in turn.
+    void publishEvacuations();
+
+    /// Sends the evacuated failure domains to one node, for nodes that missed an update.
+    void compareEvacuations();
+
     /// Reports to all nodes whether this one follows the store.
     void publishFollowing();
 
@@ -148,7 +156,10 @@
     void applyConfig(const Peer&, const ConfigDocument&);
     void recordVersion(Peer&, std::uint64_t version);
     void queryNewerVersion(Instant now);
+    void applyEvacuations(PeerConnection&, const EvacuationUpdate&);
+    void shareEvacuations(PeerConnection&) const;
     void publish(const PeerMessage&);
+    void publishToSome(const PeerMessage&);
     PeerPointer randomReachable();
 
     Loop& loop_;
--- a/include/balsamreel/Relay/StoreCalls.h
+++ b/include/balsamreel/Relay/StoreCalls.h
@@ -15,9 +15,10 @@
 
 /// The collections that the node uses in the store.
 enum class Collection : std::uint8_t { Configuration,
-    Nodes };
+    Nodes,
+    Evacuations };
 
-constexpr Support::NameTable<Collection, 2> collectionNames{{{Collection::Configuration, "configuration"}, {Collection::Nodes, "nodes"}}};
+constexpr Support::NameTable<Collection, 3> collectionNames{{{Collection::Configuration, "configuration"}, {Collection::Nodes, "nodes"}, {Collection::Evacuations, "evacuations"}}};
 
 /// A request in the store's own protocol.
 struct StoreCall {
--- a/include/balsamreel/Relay/StoreFollower.h
+++ b/include/balsamreel/Relay/StoreFollower.h
@@ -1,6 +1,7 @@
 // Follows a collection of the store.
 #pragma once
 
+#include "balsamreel/Relay/Evacuations.h"
 #include "balsamreel/Relay/EventLog.h"
 #include "balsamreel/Relay/StoreCalls.h"
 #include "balsamreel/Support/Random.h"
@@ -18,8 +19,8 @@
 class StoreFollower {
 public:
     struct Handlers {
-        std::function<void(const std::vector<StoredObject>&)> onListing; ///< the whole collection
-        std::function<void(const StoredObject&)> onChange;
+        std::function<void(const std::vector<StoredObject>&, const StorePosition&)> onListing; ///< the whole collection
+        std::function<void(const std::vector<StoredObject>&, const StorePosition&)> onChanges; ///< in their order
     };
 
     /// The pause before each watch lets one watch return several changes that follow each other closely.
@@ -55,6 +56,7 @@
     Handlers handlers_;
     boost::asio::steady_timer timer_;
     std::vector<StoredObject> listed_; ///< objects of the pages read so far
+    std::uint64_t era_ = 0;
     std::uint64_t revision_ = 0;
     unsigned failures_ = 0; ///< consecutive
     bool hasListed_ = false; ///< since following was started
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -86,11 +86,11 @@
     status.service = settings_.service;
     status.address = settings_.server;
     const auto* ready = server_.ready();
-    if (!ready || isClosed_)
+    if (!ready || isClosed_ || isEvacuated_)
         return status;
     status.instance = ready->instance;
     status.slots = saturation_.usableSlots();
-    status.isCold = ready->coldTime > Duration::zero();
+    status.isCold = ready->coldTime > Duration::zero() || cold_.isCold();
     return status;
 }
 
@@ -98,14 +98,15 @@
 {
     auto now = Support::monotonicNow();
     auto load = admission_.load(now);
-    auto wait = std::max(load.expectedWait, rateLimiter_.timeUntilRoom(now, leastUrgentPriority));
-    auto limit = std::min(load.limit, rateLimiter_.concurrency(load.typicalService).value_or(load.limit));
+    auto wait = std::max({load.expectedWait, rateLimiter_.timeUntilRoom(now, leastUrgentPriority), cold_.timeUntilRoom(now, leastUrgentPriority)});
+    auto limit = std::min({load.limit, rateLimiter_.concurrency(load.typicalService).value_or(load.limit), cold_.concurrency(load.typicalService).value_or(load.limit)});
     return {load.running, load.queued, limit, static_cast<std::uint32_t>(wait.count())};
 }
 
 void Guard::applySettings()
 {
     startPolicy_.setObservationInterval(observationInterval(settings_));
+    updateColdOptions();
 }
 
 void Guard::close()
@@ -134,11 +135,18 @@
     const auto* ready = server_.ready();
     if (!ready || isClosed_)
         return refuse(key, request, deadline, {Reason::ServerLeaving, {}, false}, done);
+    if (isEvacuated_)
+        return refuse(key, request, deadline, {Reason::DomainEvacuated, {}, false}, done);
     if (ready->instance != request.instance)
         return refuse(key, request, deadline, {Reason::WrongServer, {}, false}, done);
     // Waiting would not help: the limit leaves room for a certain number of requests only.
     if (!rateLimiter_.tryTake(now, request.priority))
         return refuse(key, request, deadline, {Reason::RateLimited, rateLimiter_.scheduleReturn(now, request.priority), false}, done);
+    bool hasColdRoom = cold_.isCold() && cold_.tryReserve(now, request.priority);
+    if (cold_.isCold() && !hasColdRoom) {
+        rateLimiter_.giveBack();
+        return refuse(key, request, deadline, {Reason::ServerCold, cold_.scheduleReturn(now, request.priority), false}, done);
+    }
 
     Admission::Ticket ticket;
     ticket.id = nextTicket_++;
@@ -149,9 +157,11 @@
     auto decision = admission_.submit(now, ticket);
     if (const auto* refused = std::get_if<Admission::Refused>(&decision)) {
         rateLimiter_.giveBack();
+        if (hasColdRoom)
+            cold_.cancelReservation();
         return refuse(key, request, deadline, {reasonOf(refused->reason), refused->expectedWait, false}, done);
     }
-    attempts_[ticket.id] = std::make_unique<Attempt>(Attempt{.key = key, .request = request, .done = std::move(done), .submittedAt = now, .deadline = deadline, .startedAt = now, .hasRateRoom = rateLimiter_.limit().has_value()});
+    attempts_[ticket.id] = std::make_unique<Attempt>(Attempt{.key = key, .request = request, .done = std::move(done), .submittedAt = now, .deadline = deadline, .startedAt = now, .hasRateRoom = rateLimiter_.limit().has_value(), .hasColdRoom = hasColdRoom});
     tickets_[key] = ticket.id;
     if (std::holds_alternative<Admission::Admitted>(decision))
         startOrHold(ticket.id);
@@ -180,8 +190,12 @@
 
 void Guard::returnRateRoom(const Attempt& attempt)
 {
-    if (attempt.hasRateRoom && !attempt.connection)
+    if (attempt.connection)
+        return;
+    if (attempt.hasRateRoom)
         rateLimiter_.giveBack();
+    if (attempt.hasColdRoom)
+        cold_.cancelReservation();
 }
 
 // Two attempts may send the same request of a caller to this server, so the caller's id alone does not tell which of them a
@@ -253,6 +267,8 @@
     auto& attempt = *found->second;
     auto now = Support::monotonicNow();
     const auto* ready = server_.ready();
+    if (isEvacuated_)
+        return complete(ticket, NotRun{Reason::DomainEvacuated, {}, false}, false);
     if (!ready || ready->instance != attempt.request.instance)
         return complete(ticket, NotRun{Reason::ServerLeaving, {}, false}, false);
     if (now >= attempt.deadline)
@@ -260,6 +276,8 @@
     // The server has named its limit after the attempt was admitted.
     if (!attempt.hasRateRoom && !rateLimiter_.tryTake(now, attempt.request.priority))
         return complete(ticket, NotRun{Reason::RateLimited, rateLimiter_.scheduleReturn(now, attempt.request.priority), false}, false);
+    if (!cold_.trySend(now, attempt.request.priority, attempt.hasColdRoom))
+        return complete(ticket, NotRun{Reason::ServerCold, cold_.scheduleReturn(now, attempt.request.priority), false}, false);
     attempt.startedAt = now;
     attempt.process = currentProcess();
     ++sentCount_;
@@ -269,6 +287,8 @@
     attempt.connection = takeConnection(attempt.request, now);
     auto text = serializeRequest(attempt.request.request, addedHeaders(attempt, now));
     attempt.connection->exchange(std::move(text), {names_.callerAttemptId, attempt.request.request.callerAttemptId}, attempt.request.request.method == "HEAD", [this, ticket](HttpResult result) { onServerResponse(ticket, std::move(result)); });
+    if (cold_.needsReport() && !healthPath_.empty())
+        probeSlowdown();
 }
 
 Outcome Guard::outcomeOf(const Attempt& attempt, HttpResponse&& response)
@@ -390,6 +410,19 @@
     complete(ticket, Unknown{Reason::CallerLeft}, false);
 }
 
+void Guard::refuseWaiting(Reason reason)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [ticket, attempt] : attempts_) {
+        if (!attempt->connection)
+            waiting.push_back(ticket);
+    }
+    for (auto ticket : waiting) {
+        admission_.cancel(ticket); // for a queued attempt; complete() returns a slot that is held already
+        complete(ticket, NotRun{reason, {}, false}, false);
+    }
+}
+
 void Guard::queryOutcome(const AttemptKey& key, Instant deadline, Done done)
 {
     auto open = tickets_.find(key);
@@ -416,6 +449,7 @@
 void Guard::tick(Instant now)
 {
     completed_.evict(now);
+    updateColdState();
     std::vector<std::uint64_t> overdue;
     for (const auto& [ticket, attempt] : attempts_) {
         if (attempt->connection && now >= attempt->deadline + responseGrace)
--- a/lib/Relay/GuardServerState.cpp
+++ b/lib/Relay/GuardServerState.cpp
@@ -2,6 +2,7 @@
 #include "balsamreel/Relay/AdmissionOptions.h"
 #include "balsamreel/Relay/Guard.h"
 #include "balsamreel/Relay/HttpText.h"
+#include "balsamreel/Support/Numbers.h"
 
 #include <algorithm>
 
@@ -36,7 +37,7 @@
         idleConnections_.clear();
         startPolicy_.reset();
         serverNotice_ = {};
-        rateLimiter_ = {};
+        rateLimiter_ = Admission::RequestRateLimiter();
     }
     onStatusChange();
 }
@@ -46,6 +47,8 @@
     auto before = status();
     bool isAccepted = server_.handleAnnouncement(announcement);
     onServerChange(before);
+    if (isAccepted)
+        recordColdTime(announcement);
     if (isAccepted && announcement.state == ServerState::Draining)
         setPersistedState({persistedState_.lastSlotVerdict, announcement.instance});
     return isAccepted;
@@ -82,6 +85,63 @@
         discover();
 }
 
+void Guard::setServiceConfig(const ServiceConfig& config)
+{
+    serviceConfig_ = config;
+    updateColdOptions();
+    setHealthPath(config.healthPath);
+}
+
+void Guard::setEvacuated(bool isEvacuated)
+{
+    if (isEvacuated == isEvacuated_)
+        return;
+    auto before = status();
+    isEvacuated_ = isEvacuated;
+    log_.line(LogClass::Notable, "domain-evacuated", "domain={} evacuated={} running={} guarded={}", settings_.domain, isEvacuated, runningAtServer_, attempts_.size());
+    if (!isEvacuated)
+        cold_.assumeCold(Support::monotonicNow(), Duration::zero());
+    updateColdState();
+    onServerChange(before);
+    // Only now, so that the local entry sends the refused attempts elsewhere.
+    if (isEvacuated)
+        refuseWaiting(Reason::DomainEvacuated);
+}
+
+void Guard::updateColdOptions()
+{
+    cold_.setOptions(Support::monotonicNow(), {serviceConfig_.coldRequestsPerSecond, settings_.coldOverage, settings_.coldSlack, serviceConfig_.coldTime});
+    updateColdState();
+}
+
+void Guard::updateColdState()
+{
+    auto before = status();
+    if (!cold_.update(Support::monotonicNow()))
+        return;
+    log_.line(LogClass::Notable, "server-cold", "instance={} cold={} limit={} sent={}", before.instance, cold_.isCold(), serviceConfig_.coldRequestsPerSecond, sentCount_);
+    onServerChange(before);
+}
+
+// A server that has started is cold for a known time, whatever its first announcements say.
+void Guard::recordColdTime(const Announcement& announcement)
+{
+    auto now = Support::monotonicNow();
+    cold_.report(now, announcement.coldTime);
+    if (announcement.processStartMillis > 0) {
+        Duration startedAt = std::chrono::milliseconds(announcement.processStartMillis);
+        cold_.assumeCold(now, std::max(Duration::zero(), Duration(Support::wallMicros()) - startedAt));
+    }
+    updateColdState();
+}
+
+std::optional<Duration> Guard::statedColdTime(const HttpResponse& response) const
+{
+    auto value = response.fields[boost::beast::string_view(names_.coldMillis.data(), names_.coldMillis.size())];
+    auto millis = Support::parseNumber<std::uint32_t>(std::string_view(value.data(), value.size()));
+    return millis ? std::optional<Duration>(std::chrono::milliseconds(*millis)) : std::nullopt;
+}
+
 void Guard::setHealthPath(const std::string& path)
 {
     bool isFirst = healthPath_.empty() && !path.empty();
@@ -262,8 +322,11 @@
 {
     auto instance = response.fields[boost::beast::string_view(names_.instance.data(), names_.instance.size())];
     auto process = currentProcess();
-    if (std::string_view(instance.data(), instance.size()) == process.instance)
-        updateNotice("health", process, response);
+    if (std::string_view(instance.data(), instance.size()) != process.instance)
+        return;
+    cold_.report(Support::monotonicNow(), statedColdTime(response));
+    updateColdState();
+    updateNotice("health", process, response);
 }
 
 // A server may say first, or only, in its responses that it leaves.
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <csignal>
 #include <limits>
@@ -25,6 +27,8 @@
 constexpr Duration watcherSelectionInterval = std::chrono::milliseconds(500);
 // A starting node knows the other nodes by then, unless the store does not respond.
 constexpr Duration nodeListingTimeout = std::chrono::seconds(3);
+// A store that lists other collections lists the evacuations by then, unless it does not know them.
+constexpr Duration evacuationListingTimeout = std::chrono::seconds(3);
 // Polling interval of the store until there is a configuration. Its response must not be stale, or a restarted node would
 // apply a version that had been replaced before.
 constexpr Duration pollInterval = std::chrono::seconds(1);
@@ -64,15 +68,17 @@
     , incarnation_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
     , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
-    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }})
+    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this]() -> const EvacuationDocument& { return evacuations_.document(); }, [this](const EvacuationDocument& document) { applyEvacuations(document, "peer"); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }})
     , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, log_, metrics_)
     , storeCalls_(loop, settings_.store, codec_.store.eraHeader)
-    , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configWatchPause, incarnation_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
+    , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configWatchPause, incarnation_ + 2, log_, {[this](const std::vector<StoredObject>& objects, const StorePosition&) {
         for (const auto& object : objects)
             if (object.name == codec_.configName)
-                applyConfig(object.content, "store"); }, [this](const StoredObject& object) {
-        if (object.name == codec_.configName && !object.isDeleted)
-            applyConfig(object.content, "store"); }})
+                applyConfig(object.content, "store"); }, [this](const std::vector<StoredObject>& objects, const StorePosition&) {
+        for (const auto& object : objects)
+            if (object.name == codec_.configName && !object.isDeleted)
+                applyConfig(object.content, "store"); }})
+    , evacuationFollower_(loop, storeCalls_, codec_.store, Collection::Evacuations, configWatchPause, incarnation_ + 4, log_, {[this](const std::vector<StoredObject>& objects, const StorePosition& position) { applyEvacuationListing(objects, position); }, [this](const std::vector<StoredObject>& objects, const StorePosition& position) { applyEvacuationChanges(objects, position); }})
     , directory_(loop, storeCalls_, codec_.store, settings_.name, ownRecord(), incarnation_ + 3, log_, {[this](const std::vector<StoredObject>& objects) { applyNodeListing(objects); }, [this](const std::optional<std::string>& content) { restore(content); }})
     , watcherSelection_(settings_.name, settings_.domain)
     , callerAcceptor_(loop)
@@ -254,11 +260,51 @@
     limits_ = config->limits;
     auto routes = std::make_shared<RouteTable>(std::move(*config));
     const auto* ownService = routes->service(settings_.service);
-    guard_.setHealthPath(ownService ? ownService->healthPath : std::string());
+    guard_.setServiceConfig(ownService ? *ownService : ServiceConfig());
     entry_.setRoutes(std::move(routes));
     peers_.publishVersion();
 }
 
+void Node::applyEvacuations(EvacuationDocument document, std::string_view source)
+{
+    auto now = Support::monotonicNow();
+    bool hasChanged = evacuations_.apply(now, std::move(document), settings_.storeRecoveryTime);
+    guard_.setEvacuated(evacuations_.isEvacuated(now, settings_.domain));
+    if (!hasChanged)
+        return;
+    const auto& current = evacuations_.document();
+    log_.line(LogClass::Notable, "evacuations-changed", "source={} domains={} era={} revision={}", source, fmt::join(current.domains, ","), current.position.era, current.position.revision);
+    peers_.publishEvacuations();
+}
+
+void Node::applyEvacuationListing(const std::vector<StoredObject>& objects, const StorePosition& position)
+{
+    EvacuationDocument document{position, {}};
+    for (const auto& object : objects)
+        document.domains.insert(object.name);
+    applyEvacuations(std::move(document), "store");
+    if (hasListedEvacuations_)
+        return;
+    hasListedEvacuations_ = true;
+    // The configuration may be loaded now, so this does not wait for the next interval.
+    lastWatcherSelection_ = {};
+    lastPoll_ = {};
+}
+
+// The document may be newer than the start of the watch, because another node has sent it. Each object's last change is
+// what counts, so changes that the document contains already do no harm.
+void Node::applyEvacuationChanges(const std::vector<StoredObject>& objects, const StorePosition& position)
+{
+    EvacuationDocument document{position, evacuations_.document().domains};
+    for (const auto& object : objects) {
+        if (object.isDeleted)
+            document.domains.erase(object.name);
+        else
+            document.domains.insert(object.name);
+    }
+    applyEvacuations(std::move(document), "store");
+}
+
 std::string Node::ownRecord() const
 {
     return codec_.writeNode({{settings_.name, settings_.peerAddress, settings_.domain}, guard_.persistedState()});
@@ -363,7 +409,9 @@
     bool knowsNodes = directory_.hasSeenOwnRecord() || now - startedAt_ >= nodeListingTimeout;
     if (knowsNodes && now - lastWatcherSelection_ >= watcherSelectionInterval) {
         lastWatcherSelection_ = now;
-        configFollower_.follow(watcherSelection_.decide(now, peers_.watchCandidates(), configFollower_.isConnected()));
+        bool isWatcher = watcherSelection_.decide(now, peers_.watchCandidates(), configFollower_.isConnected());
+        configFollower_.follow(isWatcher && mayLoadConfig(now));
+        evacuationFollower_.follow(isWatcher && settings_.followsEvacuations);
     }
     if (configFollower_.isConnected() != publishedFollowing_) {
         publishedFollowing_ = !publishedFollowing_;
@@ -372,7 +420,22 @@
     if (configVersion_ > 0 || now - startedAt_ < firstPollDelay || now - lastPoll_ < pollInterval)
         return;
     lastPoll_ = now;
-    configFollower_.poll();
+    pollStore(now);
+}
+
+// A node without a configuration sends nothing to its server. One that comes from the store has to wait until the store has
+// told which failure domains are evacuated; one that comes from a peer is preceded by what that peer knows of them.
+bool Node::mayLoadConfig(Instant now) const
+{
+    return !settings_.followsEvacuations || hasListedEvacuations_ || configVersion_ > 0 || now - startedAt_ >= evacuationListingTimeout;
+}
+
+void Node::pollStore(Instant now)
+{
+    if (settings_.followsEvacuations && !hasListedEvacuations_)
+        evacuationFollower_.poll();
+    if (mayLoadConfig(now))
+        configFollower_.poll();
 }
 
 // The store is the first source of nodes and configuration. Peers are queried while it does not supply them, and comparing
@@ -386,10 +449,20 @@
         lastStateQuery_ = now;
         peers_.queryState();
     }
+    compareWithPeer(now);
+}
+
+void Node::compareWithPeer(Instant now)
+{
     if (now - lastVersionComparison_ < versionComparisonInterval)
         return;
     lastVersionComparison_ = now;
     peers_.compareVersion();
+    if (!evacuations_.isInUse())
+        return;
+    peers_.compareEvacuations();
+    // An evacuation that an older copy of the store lacks ends with time.
+    guard_.setEvacuated(evacuations_.isEvacuated(now, settings_.domain));
 }
 
 // Timers stop while the VM is suspended, but the deadlines of callers do not.
@@ -441,6 +514,8 @@
     settings_.quotaSlack = settings.quotaSlack;
     settings_.coldOverage = settings.coldOverage;
     settings_.coldSlack = settings.coldSlack;
+    settings_.followsEvacuations = settings.followsEvacuations;
+    settings_.storeRecoveryTime = settings.storeRecoveryTime;
     settings_.maximumDescriptors = settings.maximumDescriptors;
     guard_.applySettings();
     entry_.applySettings();
@@ -452,6 +527,9 @@
     metrics_.set("balsamreel_guarded_calls", static_cast<double>(guard_.openCount()));
     metrics_.set("balsamreel_server_requests", static_cast<double>(guard_.sentCount()));
     metrics_.set("balsamreel_server_limit_per_second", guard_.rateLimit().value_or(std::numeric_limits<double>::infinity()));
+    metrics_.set("balsamreel_server_cold", guard_.isServerCold() ? 1 : 0);
+    metrics_.set("balsamreel_domain_evacuated", guard_.isEvacuated() ? 1 : 0);
+    metrics_.set("balsamreel_evacuated_domains", static_cast<double>(evacuations_.document().domains.size()));
     metrics_.set("balsamreel_server_leaving", guard_.hasServerLeft() ? 1 : 0);
     metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
     metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -137,6 +137,18 @@
     longText(archive, document.compressedText);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, EvacuationUpdate& update)
+{
+    auto& [position, domains] = update.document;
+    archive(position.era, position.revision);
+    std::vector<std::string> names(domains.begin(), domains.end());
+    names.resize(Wire::serializeSize(archive, names.size(), maximumShortLength));
+    for (auto& name : names)
+        shortText(archive, name);
+    domains = {names.begin(), names.end()};
+}
+
 template <typename Archive>
 void serialize(Archive& archive, ContextDefinition& definition)
 {
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -27,7 +27,7 @@
 constexpr Duration silenceBeforeLoss = std::chrono::milliseconds(700);
 // A node that has sent no attempt for this long gets no slowdown updates: it would receive a hundred for each call.
 constexpr Duration slowdownUpdateWindow = std::chrono::seconds(1);
-constexpr std::size_t maximumVersionReceivers = 16;
+constexpr std::size_t maximumGossipReceivers = 16;
 // accept() mostly fails for lack of file descriptors, so it is retried after a delay.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -142,6 +142,8 @@
         shareConfig(connection, configQuery->configVersion);
     else if (const auto* update = std::get_if<VersionUpdate>(&message))
         onInboundVersion(*inbound, update->configVersion);
+    else if (const auto* evacuations = std::get_if<EvacuationUpdate>(&message))
+        applyEvacuations(*connection, *evacuations);
     else if (std::holds_alternative<Ping>(message))
         connection->send(Pong());
 }
@@ -158,6 +160,7 @@
     if (hello.sender.domain == self_.domain)
         sameDomainPeers_.push_back(inbound);
     inbound->connection->send(makeHello());
+    shareEvacuations(*inbound->connection);
     if (auto known = peers_.find(hello.sender.name); known != peers_.end())
         known->second->failures = 0;
     addNodes({hello.sender});
@@ -232,6 +235,8 @@
         return;
     if (sharedConfig_.configVersion != version)
         sharedConfig_ = {version, Support::compress(host_.configText())};
+    // A node begins to serve with its first configuration.
+    shareEvacuations(*connection);
     connection->send(sharedConfig_);
 }
 
@@ -362,7 +367,10 @@
     if (const auto* list = std::get_if<PeerList>(&message))
         return addNodes(list->peers);
     if (const auto* document = std::get_if<ConfigDocument>(&message))
-        applyConfig(*peer, *document);
+        return applyConfig(*peer, *document);
+    const auto* evacuations = std::get_if<EvacuationUpdate>(&message);
+    if (evacuations && peer->connection)
+        applyEvacuations(*peer->connection, *evacuations);
 }
 
 void Peers::onHello(const PeerPointer& peer, const Hello& hello)
@@ -387,6 +395,7 @@
     log_.line(LogClass::Notable, "peer-up", "peer={} boot={} service={} instance={}", peer->record.name, hello.incarnation, hello.status.service, hello.status.instance);
     peer->isFollowingStore = hello.isFollowingStore;
     recordVersion(*peer, hello.configVersion);
+    shareEvacuations(*peer->connection);
     host_.onServersChanged();
 }
 
@@ -502,11 +511,16 @@
 // from any of those that watch the store.
 void Peers::publishVersion()
 {
-    auto frame = encodeFrame(VersionUpdate{host_.configVersion()});
+    publishToSome(VersionUpdate{host_.configVersion()});
+}
+
+void Peers::publishToSome(const PeerMessage& message)
+{
+    auto frame = encodeFrame(message);
     std::vector<std::shared_ptr<PeerConnection>> connections;
     for (const auto& inbound : inboundPeers_)
         connections.push_back(inbound->connection);
-    for (std::size_t sent = 0; sent < connections.size() && sent < maximumVersionReceivers; ++sent) {
+    for (std::size_t sent = 0; sent < connections.size() && sent < maximumGossipReceivers; ++sent) {
         std::swap(connections[sent], connections[sent + random_.below(connections.size() - sent)]);
         connections[sent]->sendFrame(frame);
     }
@@ -542,6 +556,32 @@
         peer->connection->send(VersionUpdate{host_.configVersion()});
 }
 
+// The document is small, so it is sent whole instead of its version.
+void Peers::publishEvacuations()
+{
+    publishToSome(EvacuationUpdate{host_.evacuations()});
+}
+
+void Peers::compareEvacuations()
+{
+    if (auto peer = randomReachable())
+        peer->connection->send(EvacuationUpdate{host_.evacuations()});
+}
+
+void Peers::applyEvacuations(PeerConnection& connection, const EvacuationUpdate& update)
+{
+    if (update.document.position < host_.evacuations().position)
+        return connection.send(EvacuationUpdate{host_.evacuations()});
+    host_.onEvacuations(update.document);
+}
+
+// A node that has just started, or was cut off, learns of an evacuation before it gets an attempt on the connection.
+void Peers::shareEvacuations(PeerConnection& connection) const
+{
+    if (!host_.evacuations().domains.empty())
+        connection.send(EvacuationUpdate{host_.evacuations()});
+}
+
 Peers::PeerPointer Peers::randomReachable()
 {
     std::vector<PeerPointer> reachable;
--- a/lib/Relay/StoreFollower.cpp
+++ b/lib/Relay/StoreFollower.cpp
@@ -46,8 +46,8 @@
         auto page = reply.status == httpOk ? codec_.readListing(reply.body) : std::nullopt;
         if (!page)
             log_.line(LogClass::Notable, "store-glance-failed", "collection={} status={} bytes={}", Support::nameOf(collectionNames, collection_), reply.status, reply.body.size());
-        else if (!page->objects.empty())
-            handlers_.onListing(page->objects);
+        else
+            handlers_.onListing(page->objects, {reply.era.value_or(era_), page->revision});
     });
 }
 
@@ -89,13 +89,15 @@
         return onFailure(reply, true);
     onSuccess();
     // A watch from the first page's revision also returns the changes made while the other pages were read.
-    if (listed_.empty())
+    if (listed_.empty()) {
         revision_ = page->revision;
+        era_ = reply.era.value_or(era_);
+    }
     listed_.insert(listed_.end(), page->objects.begin(), page->objects.end());
     if (page->isTruncated && !page->objects.empty())
         return list(page->objects.back().name);
     hasListed_ = true;
-    handlers_.onListing(listed_);
+    handlers_.onListing(listed_, {era_, revision_});
     listed_.clear();
     runAfter(pause_, [this] { watch(); });
 }
@@ -118,9 +120,12 @@
     if (!changes)
         return onFailure(reply, false);
     onSuccess();
+    // The store has come back from an older copy, so the revisions of this watch mean other changes.
+    if (reply.era.value_or(era_) != era_)
+        return list({});
     revision_ = std::max(revision_, changes->revision);
-    for (const auto& object : changes->objects)
-        handlers_.onChange(object);
+    if (!changes->objects.empty())
+        handlers_.onChanges(changes->objects, {era_, revision_});
     if (changes->objects.empty())
         return watch();
     runAfter(pause_, [this] { watch(); });
--- a/unittests/Relay/PeerMessagesTest.cpp
+++ b/unittests/Relay/PeerMessagesTest.cpp
@@ -47,6 +47,15 @@
     RC_ASSERT(received.request.headers == sent.request.headers);
 }
 
+TEST(PeerMessages, RoundTripsEvacuations)
+{
+    auto back = roundTrip(EvacuationUpdate{{{2, 1ULL << 40U}, {"digha", "puri"}}});
+    ASSERT_TRUE(back);
+    const auto& document = std::get<EvacuationUpdate>(*back).document;
+    EXPECT_EQ(document.position, (StorePosition{2, 1ULL << 40U}));
+    EXPECT_EQ(document.domains, (std::set<std::string>{"digha", "puri"}));
+}
+
 TEST(PeerMessages, RoundTripsAttemptReplies)
 {
     AttemptReply result{7, NotRun{Reason::Overloaded, Duration(1234), true}, {1, 2, 3, 4}};
