--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -3,6 +3,7 @@
 
 #include "balsamreel/Admission/SaturationDetector.h"
 #include "balsamreel/Quota/AccountLimiter.h"
+#include "balsamreel/Relay/Evacuations.h"
 #include "balsamreel/Relay/Model.h"
 #include "balsamreel/Wire/Headers.h"
 
@@ -105,6 +106,11 @@
     std::string compressedText;
 };
 
+/// The evacuated failure domains that the sender knows of. The receiver replies with its own if they are newer.
+struct EvacuationUpdate {
+    EvacuationDocument document;
+};
+
 /// Requests one attempt at the server beside the receiver.
 struct AttemptRequest {
     std::uint64_t serial = 0; ///< unique per incarnation of the sender
@@ -177,7 +183,7 @@
 
 struct Pong { };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery, Quota::TokenRequest, Quota::TokenReply>;
+using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery, Quota::TokenRequest, Quota::TokenReply, EvacuationUpdate>;
 
 /// Returns a complete frame, including its length field.
 std::string encodeFrame(const PeerMessage&);
