Whole answers: one checked reader for balsamd and balsamctl

Cause: balsamd read responses with POCO, which accepts any status and any bytes in names and values of fields, and whose body stream ends the same way for a part and the whole. The store's client used that stream: a value that was cut off in a chunked body, or whose connection was reset, was taken for whole. The node's own chunk parser ignored what followed a size or a chunk.

Change: Support::HttpClientSession checks the head and reads the body; sessions to servers and nodes, the store's client and the operator's client use it. The chunk parser moves there from Node/Exchange. Interim responses are skipped; 103 was taken for final.

--- a/include/balsamreel/Node/Exchange.h
+++ b/include/balsamreel/Node/Exchange.h
@@ -4,8 +4,8 @@
 #include "balsamreel/Node/Errors.h"
 #include "balsamreel/Support/Clock.h"
 #include "balsamreel/Support/Endpoint.h"
+#include "balsamreel/Support/HttpClient.h"
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -23,13 +23,10 @@
 
 namespace balsamreel::Node {
 
-/// A connection to a node or server that detects truncated response bodies.
-class Session : public Poco::Net::HTTPClientSession {
+/// A connection to a node or server.
+class Session : public Support::HttpClientSession {
 public:
-    using Poco::Net::HTTPClientSession::HTTPClientSession;
-
-    /// Receives one part of a body. Returns false to stop reading.
-    using Sink = std::function<bool(const char* data, std::size_t size)>;
+    using Support::HttpClientSession::HttpClientSession;
 
     /// Reads the body of the response just received. Errors: ResponseTruncated if it ends early, CallerLeft if the sink
     /// stops.
@@ -40,13 +37,6 @@
 
 protected:
     void connect(const Poco::Net::SocketAddress&) override;
-
-private:
-    std::error_code readFixed(std::uint64_t length, const Sink&);
-    std::error_code readChunked(const Sink&);
-    std::error_code readToEnd(const Sink&);
-    bool readChunkSize(std::uint64_t& size);
-    bool skipLine();
 };
 
 /// Idle connections for reuse. Thread-safe.
@@ -181,7 +171,4 @@
 /// True if the request announces a body.
 bool requestHasBody(const Poco::Net::HTTPServerRequest&);
 
-/// True if a response with this status to this method has a body.
-bool responseHasBody(const std::string& method, int status);
-
 } // namespace balsamreel::Node
--- a/include/balsamreel/Store/Client.h
+++ b/include/balsamreel/Store/Client.h
@@ -12,7 +12,6 @@
 #include <mutex>
 
 namespace Poco::Net {
-class HTTPClientSession;
 class HTTPResponse;
 } // namespace Poco::Net
 
--- a/lib/Node/Exchange.cpp
+++ b/lib/Node/Exchange.cpp
@@ -9,9 +9,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <cerrno>
-#include <charconv>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -28,7 +26,6 @@
 namespace {
 
 constexpr std::size_t bufferBytes = 32 * 1024;
-constexpr int endOfStream = std::char_traits<char>::eof();
 
 constexpr std::array<std::string_view, 9> hopByHopHeaders{"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-authorization", "proxy-authenticate", "expect"};
 constexpr std::string_view ownPrefix = "x-balsam-";
@@ -61,7 +58,7 @@
 
 void Session::connect(const Poco::Net::SocketAddress& address)
 {
-    HTTPClientSession::connect(address);
+    HttpClientSession::connect(address);
     Support::setConnectionTimeouts(socket());
 }
 
@@ -75,93 +72,15 @@
 
 std::error_code Session::readBody(const HTTPResponse& response, bool hasBody, const Sink& sink)
 {
-    if (!hasBody)
+    switch (HttpClientSession::readBody(response, hasBody, sink)) {
+    case Support::BodyEnd::Complete:
         return {};
-    try {
-        if (response.getChunkedTransferEncoding())
-            return readChunked(sink);
-        if (response.hasContentLength())
-            return readFixed(static_cast<std::uint64_t>(response.getContentLength64()), sink);
-        return readToEnd(sink);
-    } catch (const Poco::Exception&) {
+    case Support::BodyEnd::Truncated:
         return ExchangeError::ResponseTruncated;
+    case Support::BodyEnd::Stopped:
+        return ExchangeError::CallerLeft;
     }
-}
-
-std::error_code Session::readFixed(std::uint64_t length, const Sink& sink)
-{
-    std::vector<char> buffer(std::min<std::uint64_t>(length, bufferBytes));
-    while (length > 0) {
-        int count = read(buffer.data(), static_cast<std::streamsize>(std::min<std::uint64_t>(length, buffer.size())));
-        if (count <= 0)
-            return ExchangeError::ResponseTruncated;
-        length -= static_cast<std::uint64_t>(count);
-        if (!sink(buffer.data(), static_cast<std::size_t>(count)))
-            return ExchangeError::CallerLeft;
-    }
-    return {};
-}
-
-bool Session::skipLine()
-{
-    int letter = get();
-    while (letter != endOfStream && letter != '\n')
-        letter = get();
-    return letter != endOfStream;
-}
-
-bool Session::readChunkSize(std::uint64_t& size)
-{
-    constexpr std::size_t maximumDigits = 15;
-    constexpr int hexBase = 16;
-    std::string digits;
-    int letter = get();
-    while (letter != endOfStream && std::isxdigit(letter) && digits.size() < maximumDigits) {
-        digits += static_cast<char>(letter);
-        letter = get();
-    }
-    if (digits.empty() || letter == endOfStream)
-        return false;
-    std::from_chars(digits.data(), digits.data() + digits.size(), size, hexBase);
-    return letter == '\n' || skipLine();
-}
-
-// Parses the chunks here because POCO's chunked stream ends the same way for complete and truncated bodies.
-std::error_code Session::readChunked(const Sink& sink)
-{
-    while (true) {
-        std::uint64_t size = 0;
-        if (!readChunkSize(size))
-            return ExchangeError::ResponseTruncated;
-        if (size == 0)
-            break;
-        if (auto error = readFixed(size, sink))
-            return error;
-        if (!skipLine())
-            return ExchangeError::ResponseTruncated;
-    }
-    // Trailers end with an empty line.
-    while (true) {
-        int letter = get();
-        if (letter == '\r')
-            letter = get();
-        if (letter == '\n')
-            return {};
-        if (letter == endOfStream || !skipLine())
-            return ExchangeError::ResponseTruncated;
-    }
-}
-
-std::error_code Session::readToEnd(const Sink& sink)
-{
-    std::vector<char> buffer(bufferBytes);
-    while (true) {
-        int count = read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
-        if (count <= 0)
-            return {};
-        if (!sink(buffer.data(), static_cast<std::size_t>(count)))
-            return ExchangeError::CallerLeft;
-    }
+    return ExchangeError::ResponseTruncated;
 }
 
 std::unique_ptr<Session> ConnectionPool::open(const Support::Endpoint& endpoint) const
@@ -422,12 +341,6 @@
     return request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0);
 }
 
-bool responseHasBody(const std::string& method, int status)
-{
-    constexpr int firstFinalStatus = 200;
-    return method != HTTPRequest::HTTP_HEAD && status >= firstFinalStatus && status != HTTPResponse::HTTP_NO_CONTENT && status != HTTPResponse::HTTP_NOT_MODIFIED;
-}
-
 std::error_code relayResponse(Exchange& exchange, const HTTPResponse& targetResponse, HTTPServerRequest& request, HTTPServerResponse& response, const Session::Sink& copy)
 {
     response.setStatusAndReason(targetResponse.getStatus(), targetResponse.getReason());
@@ -435,7 +348,7 @@
     if (targetResponse.has("Date"))
         response.erase("Date");
     copyHeaders(targetResponse, response);
-    bool hasBody = responseHasBody(request.getMethod(), targetResponse.getStatus());
+    bool hasBody = Support::responseHasBody(request.getMethod(), targetResponse.getStatus());
     if (targetResponse.hasContentLength())
         response.setContentLength64(targetResponse.getContentLength64());
     else if (hasBody)
--- a/lib/Node/Gossip.cpp
+++ b/lib/Node/Gossip.cpp
@@ -123,10 +123,14 @@
         request.setKeepAlive(false);
         session.sendRequest(request);
         Poco::Net::HTTPResponse response;
-        auto& stream = session.receiveResponse(response);
+        session.receiveResponse(response);
         std::string text;
         std::vector<Wire::MemberRecord> records;
-        bool isComplete = response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK && Support::readBody(stream, Wire::maximumTableBytes, text);
+        auto error = session.readBody(response, true, [&](const char* data, std::size_t size) {
+            text.append(data, size);
+            return text.size() <= Wire::maximumTableBytes;
+        });
+        bool isComplete = !error && response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
         if (!isComplete || Wire::decodeTable(text, records))
             return context_.metrics.add("balsam_table_errors_total");
         context_.metrics.add("balsam_table_fetched_bytes_total", static_cast<std::int64_t>(text.size()));
--- a/lib/Node/ResponseBuffer.cpp
+++ b/lib/Node/ResponseBuffer.cpp
@@ -19,7 +19,7 @@
 
 std::error_code ResponseBuffer::read(Exchange& exchange)
 {
-    bool hasBody = responseHasBody(request_.getMethod(), head_.getStatus());
+    bool hasBody = Support::responseHasBody(request_.getMethod(), head_.getStatus());
     return exchange.relay(head_, hasBody, [&](const char* data, std::size_t size) {
         if (stream_)
             return static_cast<bool>(stream_->write(data, static_cast<std::streamsize>(size)));
@@ -49,7 +49,7 @@
         return;
     }
     // A response to HEAD has a content length but no body.
-    bool isHeadOnly = body_.empty() && head_.hasContentLength() && !responseHasBody(request_.getMethod(), head_.getStatus());
+    bool isHeadOnly = body_.empty() && head_.hasContentLength() && !Support::responseHasBody(request_.getMethod(), head_.getStatus());
     if (isHeadOnly)
         response_.setContentLength64(head_.getContentLength64());
     sendRetained(retainedResponse(), response_);
--- a/lib/Operator/Commands.cpp
+++ b/lib/Operator/Commands.cpp
@@ -1,8 +1,7 @@
 #include "Common.h"
-#include "balsamreel/Support/Http.h"
+#include "balsamreel/Support/HttpClient.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/URI.h>
@@ -37,16 +36,18 @@
 std::optional<std::string> queryNode(const Support::Endpoint& node, const std::string& uri)
 {
     try {
-        Poco::Net::HTTPClientSession session(node.host, node.port);
+        Support::HttpClientSession session(node.host, node.port);
         session.setTimeout(Poco::Timespan(2, 0));
         Poco::Net::HTTPRequest request("GET", uri, "HTTP/1.1");
         session.sendRequest(request);
         Poco::Net::HTTPResponse response;
-        auto& stream = session.receiveResponse(response);
+        session.receiveResponse(response);
         std::string text;
-        if (!Support::readBody(stream, maximumNodeResponseBytes, text))
-            return std::nullopt;
-        return text;
+        auto end = session.readBody(response, Support::responseHasBody(request.getMethod(), response.getStatus()), [&](const char* data, std::size_t size) {
+            text.append(data, size);
+            return text.size() <= maximumNodeResponseBytes;
+        });
+        return end == Support::BodyEnd::Complete ? std::optional(text) : std::nullopt;
     } catch (const Poco::Exception&) {
         return std::nullopt;
     }
--- a/lib/Store/Client.cpp
+++ b/lib/Store/Client.cpp
@@ -1,18 +1,16 @@
 #include "balsamreel/Store/Client.h"
 
+#include "balsamreel/Support/HttpClient.h"
 #include "balsamreel/Support/Random.h"
 
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/URI.h>
 #include <fmt/format.h>
 
-#include <array>
 #include <charconv>
-#include <istream>
 
 namespace balsamreel::Store {
 
@@ -53,18 +51,17 @@
 
 // Reads a response body of bounded size. The deadline also applies to a store that sends the body very slowly, which does
 // not trigger the socket timeout.
-std::error_code readResponse(std::istream& stream, Support::Instant deadline, std::string& body)
+std::error_code readResponse(Support::HttpClientSession& session, const HTTPResponse& response, Support::Instant deadline, std::string& body)
 {
-    constexpr std::size_t chunkBytes = 16 * 1024;
-    std::array<char, chunkBytes> chunk;
-    while (stream.read(chunk.data(), chunk.size()) || stream.gcount() > 0) {
-        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > maximumResponseBytes)
-            return StoreError::Malformed;
-        if (Support::monotonicNow() > deadline)
-            return StoreError::Unavailable;
-    }
-    return {};
+    bool isLate = false;
+    auto end = session.readBody(response, Support::responseHasBody(HTTPRequest::HTTP_GET, response.getStatus()), [&](const char* data, std::size_t size) {
+        body.append(data, size);
+        isLate = Support::monotonicNow() > deadline;
+        return !isLate && body.size() <= maximumResponseBytes;
+    });
+    if (end == Support::BodyEnd::Complete)
+        return {};
+    return end == Support::BodyEnd::Truncated || isLate ? StoreError::Unavailable : StoreError::Malformed;
 }
 
 struct PreconditionWriter {
@@ -117,7 +114,7 @@
     // An idle connection with readable data was closed by the store or holds an unexpected response.
     bool isStale(Support::Instant now) { return now - idleSince > maximumIdleTime || !session.connected() || session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ); }
 
-    Poco::Net::HTTPClientSession session;
+    Support::HttpClientSession session;
     Support::Instant idleSince;
     bool isReused = false;
 };
@@ -212,11 +209,9 @@
         wasSent = true;
         connection.session.sendRequest(head) << request.body << std::flush;
         HTTPResponse response;
-        auto& stream = connection.session.receiveResponse(response);
-        auto error = readResponse(stream, deadline, reply.body);
-        auto length = response.getContentLength64();
-        bool isTruncated = length >= 0 && static_cast<std::size_t>(length) != reply.body.size();
-        if (error == StoreError::Unavailable || (!error && isTruncated))
+        connection.session.receiveResponse(response);
+        auto error = readResponse(connection.session, response, deadline, reply.body);
+        if (error == StoreError::Unavailable)
             return failureError();
         if (error)
             return request.isUpdate() ? failureError() : StoreError::Malformed;
--- a/unittests/Store/ClientTest.cpp
+++ b/unittests/Store/ClientTest.cpp
@@ -3,6 +3,8 @@
 #include "balsamreel/Standins/FakeStore.h"
 #include "balsamreel/Store/ResolvedUpdate.h"
 
+#include "../Support/RawServer.h"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
@@ -50,6 +52,28 @@
     Support::HttpService service_;
 };
 
+// Guards against parts of values that are taken for whole ones, and against statuses that are no responses.
+TEST(Client, RejectsResponsesThatAreNotWhole)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nETag: \"3\"\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string withoutLength = "HTTP/1.1 200 OK\r\nETag: \"3\"\r\n\r\npart";
+    for (const auto& bytes : {chunked + "8\r\npart", chunked + "4\r\npart\r\n", withoutLength, std::string("HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\npart"), std::string("HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 4\r\n\r\npart")}) {
+        Support::RawServer server(bytes, Support::Ending::Reset);
+        Client client(server.endpoint());
+        Object object;
+        EXPECT_EQ(client.get("k", object), StoreError::Unavailable) << bytes;
+    }
+}
+
+TEST(Client, ReadsChunkedResponses)
+{
+    Support::RawServer server("HTTP/1.1 200 OK\r\nETag: \"3\"\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    Client client(server.endpoint());
+    Object object;
+    ASSERT_FALSE(client.get("k", object));
+    EXPECT_EQ(object.value, "body");
+}
+
 TEST_F(ClientTest, ReusesOneConnectionForManyCalls)
 {
     Client client(endpoint_);
