--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -81,7 +81,7 @@
     bool mayLoadConfig(Instant now) const;
     void pollStore(Instant now);
     void compareWithPeer(Instant now);
-    void applyNodeListing(const std::vector<StoredObject>&);
+    void applyNodeListing(const std::vector<StoredObject>&, bool isComplete);
     void restore(const std::optional<std::string>& content);
     std::string ownRecord() const;
     void waitForSignals();
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -80,7 +80,7 @@
             if (object.name == codec_.configName && !object.isDeleted)
                 applyConfig(object.content, "store"); }})
     , evacuationFollower_(loop, storeCalls_, codec_.store, Collection::Evacuations, configWatchPause, incarnation_ + 4, log_, {[this](const std::vector<StoredObject>& objects, const StorePosition& position) { applyEvacuationListing(objects, position); }, [this](const std::vector<StoredObject>& objects, const StorePosition& position) { applyEvacuationChanges(objects, position); }})
-    , directory_(loop, storeCalls_, codec_.store, settings_.name, ownRecord(), incarnation_ + 3, log_, {[this](const std::vector<StoredObject>& objects) { applyNodeListing(objects); }, [this](const std::optional<std::string>& content) { restore(content); }})
+    , directory_(loop, storeCalls_, codec_.store, settings_.name, ownRecord(), incarnation_ + 3, log_, {[this](const std::vector<StoredObject>& objects, bool isComplete) { applyNodeListing(objects, isComplete); }, [this](const std::optional<std::string>& content) { restore(content); }})
     , watcherSelection_(settings_.name, settings_.domain)
     , callerAcceptor_(loop)
     , readinessAcceptor_(loop)
@@ -95,6 +95,11 @@
         peers_.publishStatus();
         entry_.serversChanged();
     };
+    storeCalls_.onEraRise = [this] {
+        log_.line(LogClass::Notable, "store-restored", "era={}", storeCalls_.era());
+        directory_.onStoreRestored();
+        peers_.publishVersion();
+    };
     guard_.onPersistedStateChange = [this] { directory_.setContent(ownRecord()); };
     guard_.onSlowdownChange = [this] {
         peers_.publishSlowdown();
@@ -114,6 +119,8 @@
     host.onServersChanged = [this] { entry_.serversChanged(); };
     host.onSlowdownChange = [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); };
     host.onTokenRequest = [this](const Quota::TokenRequest& request) { return accountLimits_.onRequest(request); };
+    host.storeEra = [this] { return storeCalls_.era(); };
+    host.onStoreEra = [this](std::uint64_t era) { storeCalls_.recordEra(era); };
     host.onTokenReply = [this](const std::string& node, const Quota::TokenReply& reply) { accountLimits_.onReply(node, reply); };
     return host;
 }
@@ -328,7 +335,7 @@
     return codec_.writeNode({{settings_.name, settings_.peerAddress, settings_.domain}, guard_.persistedState()});
 }
 
-void Node::applyNodeListing(const std::vector<StoredObject>& objects)
+void Node::applyNodeListing(const std::vector<StoredObject>& objects, bool isComplete)
 {
     std::vector<NodeRecord> records;
     for (const auto& object : objects) {
@@ -340,7 +347,8 @@
         records.push_back(std::move(record->node));
     }
     peers_.addNodes(records);
-    peers_.removeUnlisted(records);
+    if (isComplete)
+        peers_.removeUnlisted(records);
 }
 
 // Restores the server's state that an earlier incarnation of this node persisted.
@@ -553,6 +561,7 @@
     metrics_.set("balsamreel_server_leaving", guard_.hasServerLeft() ? 1 : 0);
     metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
     metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
+    metrics_.set("balsamreel_store_era", static_cast<double>(storeCalls_.era()));
     metrics_.set("balsamreel_store_calls", static_cast<double>(storeCalls_.count()));
     metrics_.set("balsamreel_log_lines_left_out", static_cast<double>(log_.droppedLineCount()));
     return metrics_.text();
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -141,7 +141,7 @@
     else if (const auto* configQuery = std::get_if<ConfigQuery>(&message))
         shareConfig(connection, configQuery->configVersion);
     else if (const auto* update = std::get_if<VersionUpdate>(&message))
-        onInboundVersion(*inbound, update->configVersion);
+        onInboundVersion(*inbound, *update);
     else if (const auto* tokenRequest = std::get_if<Quota::TokenRequest>(&message))
         connection->send(host_.onTokenRequest(*tokenRequest));
     else if (const auto* evacuations = std::get_if<EvacuationUpdate>(&message))
@@ -169,10 +169,12 @@
 }
 
 // Sends this node's version if it is newer; otherwise records the peer's.
-void Peers::onInboundVersion(const InboundPeer& inbound, std::uint64_t version)
+void Peers::onInboundVersion(const InboundPeer& inbound, const VersionUpdate& update)
 {
+    host_.onStoreEra(update.storeEra);
+    auto version = update.configVersion;
     if (version < host_.configVersion())
-        return inbound.connection->send(VersionUpdate{host_.configVersion()});
+        return inbound.connection->send(VersionUpdate{host_.configVersion(), host_.storeEra()});
     auto known = peers_.find(inbound.name);
     if (known != peers_.end())
         recordVersion(*known->second, version);
@@ -363,8 +365,10 @@
     }
     if (const auto* slowdown = std::get_if<SlowdownUpdate>(&message))
         return host_.onSlowdownChange(peer->record.name, peer->status.address, slowdown->isSlowed);
-    if (const auto* update = std::get_if<VersionUpdate>(&message))
+    if (const auto* update = std::get_if<VersionUpdate>(&message)) {
+        host_.onStoreEra(update->storeEra);
         return recordVersion(*peer, update->configVersion);
+    }
     if (const auto* update = std::get_if<FollowingUpdate>(&message)) {
         peer->isFollowingStore = update->isFollowingStore;
         return;
@@ -537,7 +541,7 @@
 // from any of those that watch the store.
 void Peers::publishVersion()
 {
-    publishToSome(VersionUpdate{host_.configVersion()});
+    publishToSome(VersionUpdate{host_.configVersion(), host_.storeEra()});
 }
 
 void Peers::publishToSome(const PeerMessage& message)
@@ -579,7 +583,7 @@
 void Peers::compareVersion()
 {
     if (auto peer = randomReachable())
-        peer->connection->send(VersionUpdate{host_.configVersion()});
+        peer->connection->send(VersionUpdate{host_.configVersion(), host_.storeEra()});
 }
 
 // The document is small, so it is sent whole instead of its version.
--- a/lib/Relay/StoreFollower.cpp
+++ b/lib/Relay/StoreFollower.cpp
@@ -47,7 +47,7 @@
         if (!page)
             log_.line(LogClass::Notable, "store-glance-failed", "collection={} status={} bytes={}", Support::nameOf(collectionNames, collection_), reply.status, reply.body.size());
         else
-            handlers_.onListing(page->objects, {reply.era.value_or(era_), page->revision});
+            handlers_.onListing(page->objects, {reply.era.value_or(0), page->revision});
     });
 }
 
@@ -88,16 +88,18 @@
     if (!page)
         return onFailure(reply, true);
     onSuccess();
+    if (!listed_.empty() && isFromOtherEra(reply))
+        return list({});
     // A watch from the first page's revision also returns the changes made while the other pages were read.
     if (listed_.empty()) {
         revision_ = page->revision;
-        era_ = reply.era.value_or(era_);
+        era_ = reply.era;
     }
     listed_.insert(listed_.end(), page->objects.begin(), page->objects.end());
     if (page->isTruncated && !page->objects.empty())
         return list(page->objects.back().name);
     hasListed_ = true;
-    handlers_.onListing(listed_, {era_, revision_});
+    handlers_.onListing(listed_, {era_.value_or(0), revision_});
     listed_.clear();
     runAfter(pause_, [this] { watch(); });
 }
@@ -112,20 +114,18 @@
 
 void StoreFollower::onChanges(const StoreReply& reply)
 {
-    if (reply.status == httpGone) {
-        log_.line(LogClass::Notable, "store-history-gone", "collection={} revision={}", Support::nameOf(collectionNames, collection_), revision_);
+    // In another era the revision stands for other changes, or for none yet, so the watch may have missed some.
+    if (reply.status == httpGone || isFromOtherEra(reply)) {
+        log_.line(LogClass::Notable, "store-history-gone", "collection={} revision={} status={} era={}", Support::nameOf(collectionNames, collection_), revision_, reply.status, reply.era.value_or(0));
         return list({});
     }
     auto changes = reply.status == httpOk ? codec_.readChanges(reply.body) : std::nullopt;
     if (!changes)
         return onFailure(reply, false);
     onSuccess();
-    // The store has come back from an older copy, so the revisions of this watch mean other changes.
-    if (reply.era.value_or(era_) != era_)
-        return list({});
     revision_ = std::max(revision_, changes->revision);
     if (!changes->objects.empty())
-        handlers_.onChanges(changes->objects, {era_, revision_});
+        handlers_.onChanges(changes->objects, {era_.value_or(0), revision_});
     if (changes->objects.empty())
         return watch();
     runAfter(pause_, [this] { watch(); });
