Account limits: the restart test asks for 7.5 times the limit

Cause: with twice the limit, buckets that start full stayed within the bound, so the test did not catch them. Change: the test asks for more.

--- a/unittests/Quota/AccountLimiterTest.cpp
+++ b/unittests/Quota/AccountLimiterTest.cpp
@@ -300,7 +300,7 @@
 
 TEST_P(AccountLimiterTest, RestartsGiveNoNewBurst)
 {
-    setDemand(2);
+    setDemand(7.5);
     fleet_.run(5s);
     for (int round = 0; round < 4; ++round) {
         for (std::size_t index = 0; index < GetParam(); ++index)
