--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -235,6 +235,11 @@
     if (found == attempts_.end())
         return;
     auto& attempt = *found->second;
+    // The server may be cold by now, and further requests might be too many for it.
+    if (cold_.needsReport() && !healthPath_.empty()) {
+        held_.push_back(ticket);
+        return probeSlowdown();
+    }
     StartPolicy::Work work{attempt.request.route, attempt.submittedAt + Duration(attempt.request.latencyTargetMicros), attempt.request.canGoElsewhere};
     switch (startPolicy_.decide(Support::monotonicNow(), work)) {
     case StartDecision::Observe:
@@ -287,6 +292,7 @@
     attempt.connection = takeConnection(attempt.request, now);
     auto text = serializeRequest(attempt.request.request, addedHeaders(attempt, now));
     attempt.connection->exchange(std::move(text), {names_.callerAttemptId, attempt.request.request.callerAttemptId}, attempt.request.request.method == "HEAD", [this, ticket](HttpResult result) { onServerResponse(ticket, std::move(result)); });
+    // Asked right away, so that the next request need not wait for the response.
     if (cold_.needsReport() && !healthPath_.empty())
         probeSlowdown();
 }
--- a/lib/Relay/GuardServerState.cpp
+++ b/lib/Relay/GuardServerState.cpp
@@ -262,6 +262,8 @@
     const auto* response = std::get_if<HttpResponse>(&result);
     if (response) {
         updateNoticeFromHealth(*response);
+        // Also if the response is another process's: held attempts must not wait for an announcement.
+        cold_.report(Support::monotonicNow(), std::nullopt);
         auto load = response->fields[boost::beast::string_view(names_.load.data(), names_.load.size())];
         if (!updateSlowdownState({load.data(), load.size()}))
             startPolicy_.setUnobservable();
