Store: come back from an older copy of its data

Cause: the store may come back from a copy some seconds old, whose revisions it gives out again. A watch from a revision of before misses changes without an error, and a node's record stays lost until listings lack it for long.

Change: the node follows the store's era. A watch that meets another era lists again; each node writes its record again within 8 s, at a random time; nothing is forgotten because of a listing in the minute after; the era rides on the comparison of versions between nodes.

--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -72,7 +72,7 @@
     ServerResponse onLeave(const ServerLeaveRequest&);
     bool isReady() const;
     void applyConfig(const std::string& content, std::string_view source);
-    void applyNodeListing(const std::vector<StoredObject>&);
+    void applyNodeListing(const std::vector<StoredObject>&, bool isComplete);
     void restore(const std::optional<std::string>& content);
     std::string ownRecord() const;
     void waitForSignals();
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -74,9 +74,10 @@
     bool isSlowed = false;
 };
 
-/// The sender now uses this version of the configuration.
+/// The sender now uses this version of the configuration, and has learned of this era of the store.
 struct VersionUpdate {
     std::uint64_t configVersion = 0;
+    std::uint64_t storeEra = 0; ///< 0: unknown
 };
 
 /// The sender has started to receive responses to its watch of the store, or receives them no longer.
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -40,6 +40,8 @@
         std::function<bool()> isFollowingStore;
         std::function<void()> onServersChanged;
         std::function<void(const std::string& node, const Support::Endpoint& server, bool isSlowed)> onSlowdownChange; ///< only for nodes of the same failure domain
+        std::function<std::uint64_t()> storeEra; ///< the newest era of the store that this node has learned of
+        std::function<void(std::uint64_t era)> onStoreEra; ///< the era that a peer has learned of
     };
 
     Peers(Loop&, const NodeSettings&, std::uint64_t incarnation, Guard&, EventLog&, Host);
@@ -63,7 +65,8 @@
     /// Nodes that are reachable, or have not been found to be unreachable.
     std::vector<WatchCandidate> watchCandidates() const;
 
-    /// Announces the version of the configuration to some nodes, which announce it in turn.
+    /// Announces the version of the configuration and the era of the store to some nodes, which announce them in turn if they
+    /// are new to them.
     void publishVersion();
 
     /// Compares the version with one node, for nodes that missed an announcement.
@@ -142,7 +145,7 @@
     void expireOutcomeQueries(Instant now, const PeerPointer&);
     Hello makeHello() const;
     void onInboundHello(const InboundPeerPointer&, const Hello&);
-    void onInboundVersion(const InboundPeer&, std::uint64_t version);
+    void onInboundVersion(const InboundPeer&, const VersionUpdate&);
     void shareState(const std::shared_ptr<PeerConnection>&, std::uint64_t otherVersion);
     void shareConfig(const std::shared_ptr<PeerConnection>&, std::uint64_t otherVersion);
     void applyConfig(const Peer&, const ConfigDocument&);
--- a/include/balsamreel/Relay/StoreCalls.h
+++ b/include/balsamreel/Relay/StoreCalls.h
@@ -70,6 +70,18 @@
 
     void call(const StoreCall&, Duration timeout, Done);
 
+    /// The newest era that a response or another node has named; 0: none.
+    std::uint64_t era() const { return era_; }
+
+    /// Records the era that another node or a response names.
+    void recordEra(std::uint64_t era);
+
+    /// Whether the response shows the store as it was before it came back from its newest copy.
+    bool isOutdated(const StoreReply& reply) const { return reply.era && *reply.era < era_; }
+
+    /// Called when the era rises: the store has come back from an older copy. Not called for the first era.
+    std::function<void()> onEraRise;
+
     /// Calls sent so far.
     std::uint64_t count() const { return count_; }
     void close();
@@ -82,6 +94,7 @@
     std::string eraHeader_;
     std::vector<std::shared_ptr<HttpClientConnection>> idle_;
     std::uint64_t count_ = 0;
+    std::uint64_t era_ = 0;
     bool isClosed_ = false;
 };
 
--- a/include/balsamreel/Relay/StoreFollower.h
+++ b/include/balsamreel/Relay/StoreFollower.h
@@ -8,13 +8,14 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace balsamreel::Relay {
 
 /// Lists a collection, then watches it for changes while it is wanted. Lists again if the store no longer has the history
-/// since the last known revision.
+/// since the last known revision, or has come back from an older copy: it then gives out revisions a second time.
 class StoreFollower {
 public:
     struct Handlers {
@@ -28,6 +29,9 @@
     /// Lists the collection once; a failed call is not retried.
     void poll();
 
+    /// The era of the store that the objects in the handlers' current calls come from; null if it does not tell.
+    std::optional<std::uint64_t> era() const { return era_; }
+
     /// Starts following, or stops after the open call.
     void follow(bool isWanted);
 
@@ -45,6 +49,7 @@
     void onSuccess();
     void runAfter(Duration, std::function<void()>);
     bool stopIfUnwanted();
+    bool isFromOtherEra(const StoreReply& reply) const { return reply.era && era_ && *reply.era != *era_; }
 
     StoreCalls& calls_;
     const StoreCodec& codec_;
@@ -56,6 +61,7 @@
     boost::asio::steady_timer timer_;
     std::vector<StoredObject> listed_; ///< objects of the pages read so far
     std::uint64_t revision_ = 0;
+    std::optional<std::uint64_t> era_; ///< of the last listing, and so of revision_
     unsigned failures_ = 0; ///< consecutive
     bool hasListed_ = false; ///< since following was started
     bool isWanted_ = false;
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -64,7 +64,7 @@
     , incarnation_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
     , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
-    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }})
+    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }, [this] { return storeCalls_.era(); }, [this](std::uint64_t era) { storeCalls_.recordEra(era); }})
     , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, log_, metrics_)
     , storeCalls_(loop, settings_.store, codec_.store.eraHeader)
     , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configWatchPause, incarnation_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
@@ -73,7 +73,7 @@
                 applyConfig(object.content, "store"); }, [this](const StoredObject& object) {
         if (object.name == codec_.configName && !object.isDeleted)
             applyConfig(object.content, "store"); }})
-    , directory_(loop, storeCalls_, codec_.store, settings_.name, ownRecord(), incarnation_ + 3, log_, {[this](const std::vector<StoredObject>& objects) { applyNodeListing(objects); }, [this](const std::optional<std::string>& content) { restore(content); }})
+    , directory_(loop, storeCalls_, codec_.store, settings_.name, ownRecord(), incarnation_ + 3, log_, {[this](const std::vector<StoredObject>& objects, bool isComplete) { applyNodeListing(objects, isComplete); }, [this](const std::optional<std::string>& content) { restore(content); }})
     , watcherSelection_(settings_.name, settings_.domain)
     , callerAcceptor_(loop)
     , readinessAcceptor_(loop)
@@ -88,6 +88,11 @@
         peers_.publishStatus();
         entry_.serversChanged();
     };
+    storeCalls_.onEraRise = [this] {
+        log_.line(LogClass::Notable, "store-restored", "era={}", storeCalls_.era());
+        directory_.onStoreRestored();
+        peers_.publishVersion();
+    };
     guard_.onPersistedStateChange = [this] { directory_.setContent(ownRecord()); };
     guard_.onSlowdownChange = [this] {
         peers_.publishSlowdown();
@@ -264,7 +269,7 @@
     return codec_.writeNode({{settings_.name, settings_.peerAddress, settings_.domain}, guard_.persistedState()});
 }
 
-void Node::applyNodeListing(const std::vector<StoredObject>& objects)
+void Node::applyNodeListing(const std::vector<StoredObject>& objects, bool isComplete)
 {
     std::vector<NodeRecord> records;
     for (const auto& object : objects) {
@@ -276,7 +281,8 @@
         records.push_back(std::move(record->node));
     }
     peers_.addNodes(records);
-    peers_.removeUnlisted(records);
+    if (isComplete)
+        peers_.removeUnlisted(records);
 }
 
 // Restores the server's state that an earlier incarnation of this node persisted.
@@ -455,6 +461,7 @@
     metrics_.set("balsamreel_server_leaving", guard_.hasServerLeft() ? 1 : 0);
     metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
     metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
+    metrics_.set("balsamreel_store_era", static_cast<double>(storeCalls_.era()));
     metrics_.set("balsamreel_store_calls", static_cast<double>(storeCalls_.count()));
     metrics_.set("balsamreel_log_lines_left_out", static_cast<double>(log_.droppedLineCount()));
     return metrics_.text();
--- a/lib/Relay/NodeDirectory.cpp
+++ b/lib/Relay/NodeDirectory.cpp
@@ -18,6 +18,10 @@
 constexpr Duration visibilityCheckInterval = std::chrono::seconds(1);
 // If more listings in a row lack the record, they are not stale: the record has been removed, and is created again.
 constexpr unsigned maximumListingsWithoutOwnRecord = 8;
+// Spreads the writes of all nodes over a time, as the store limits the rate of their calls.
+constexpr Duration rewriteSpread = std::chrono::seconds(8);
+// Nodes that cannot reach the store at first write their records again later than the others.
+constexpr Duration rewriteTime = std::chrono::seconds(60);
 constexpr std::uint32_t httpNotFound = 404;
 constexpr std::uint32_t httpConflict = 409;
 
@@ -37,6 +41,7 @@
     , log_(log)
     , handlers_(std::move(handlers))
     , timer_(loop)
+    , rewriteTimer_(loop)
 {
 }
 
@@ -77,7 +82,7 @@
 
 void NodeDirectory::onPage(const StoreReply& reply)
 {
-    auto page = isSuccess(reply.status) ? codec_.readListing(reply.body) : std::nullopt;
+    auto page = isSuccess(reply.status) && !calls_.isOutdated(reply) ? codec_.readListing(reply.body) : std::nullopt;
     if (!checkReply(reply, page.has_value(), [this] { list({}); }))
         return;
     listed_.insert(listed_.end(), page->objects.begin(), page->objects.end());
@@ -89,9 +94,12 @@
 void NodeDirectory::onListed()
 {
     hasListed_ = true;
-    handlers_.onListing(listed_);
+    bool isComplete = restoredAt_ == Instant() || Support::monotonicNow() - restoredAt_ >= rewriteTime;
+    handlers_.onListing(listed_, isComplete);
     if (isRemoved_)
         return;
+    if (isRewriting_ && hasSeenOwnRecord_)
+        return runAfter(listingInterval, [this] { list({}); });
     auto own = std::ranges::find(listed_, name_, &StoredObject::name);
     if (own == listed_.end())
         return hasCreatedOwnRecord_ ? awaitOwnRecord() : createOwnRecord();
@@ -180,10 +188,52 @@
     });
 }
 
+// Listings may be stale and show the record as it was before the loss, so they cannot tell whether it has to be written.
+void NodeDirectory::onStoreRestored()
+{
+    restoredAt_ = Support::monotonicNow();
+    // Until the record has been read, the calls of the start create it or read what is left.
+    if (!hasReadOwnRecord_ || isRemoved_)
+        return;
+    isRewriting_ = true;
+    scheduleRewrite(Duration(static_cast<Duration::rep>(static_cast<double>(rewriteSpread.count()) * random_.fraction())));
+}
+
+void NodeDirectory::scheduleRewrite(Duration delay)
+{
+    rewriteTimer_.expires_after(delay);
+    rewriteTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+            rewrite();
+    });
+}
+
+// Mostly the older copy still has the record, and replacing it by the same content changes nothing.
+void NodeDirectory::rewrite()
+{
+    calls_.call(codec_.replace(Collection::Nodes, name_, content_), callTimeout, [this](const StoreReply& reply) {
+        if (reply.status != httpNotFound)
+            return onRewritten(reply);
+        calls_.call(codec_.create(Collection::Nodes, name_, content_), callTimeout, [this](const StoreReply& created) { onRewritten(created); });
+    });
+}
+
+void NodeDirectory::onRewritten(const StoreReply& reply)
+{
+    if (isRemoved_)
+        return;
+    bool isWritten = isSuccess(reply.status) && !calls_.isOutdated(reply);
+    log_.line(LogClass::Notable, isWritten ? "entry-rewritten" : "entry-write-failed", "status={} bytes={}", reply.status, reply.body.size());
+    if (!isWritten)
+        return scheduleRewrite(maximumRetryDelay + Duration(static_cast<Duration::rep>(static_cast<double>(maximumRetryDelay.count()) * random_.fraction())));
+    isRewriting_ = false;
+}
+
 void NodeDirectory::remove()
 {
     isRemoved_ = true;
     timer_.cancel();
+    rewriteTimer_.cancel();
     calls_.call(codec_.remove(Collection::Nodes, name_), removalTimeout, [this](const StoreReply& reply) {
         log_.line(LogClass::Notable, "entry-removed", "status={}", reply.status);
     });
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -109,7 +109,7 @@
 template <typename Archive>
 void serialize(Archive& archive, VersionUpdate& update)
 {
-    archive(update.configVersion);
+    archive(update.configVersion, update.storeEra);
 }
 
 template <typename Archive>
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -141,7 +141,7 @@
     else if (const auto* configQuery = std::get_if<ConfigQuery>(&message))
         shareConfig(connection, configQuery->configVersion);
     else if (const auto* update = std::get_if<VersionUpdate>(&message))
-        onInboundVersion(*inbound, update->configVersion);
+        onInboundVersion(*inbound, *update);
     else if (std::holds_alternative<Ping>(message))
         connection->send(Pong());
 }
@@ -164,10 +164,12 @@
 }
 
 // Sends this node's version if it is newer; otherwise records the peer's.
-void Peers::onInboundVersion(const InboundPeer& inbound, std::uint64_t version)
+void Peers::onInboundVersion(const InboundPeer& inbound, const VersionUpdate& update)
 {
+    host_.onStoreEra(update.storeEra);
+    auto version = update.configVersion;
     if (version < host_.configVersion())
-        return inbound.connection->send(VersionUpdate{host_.configVersion()});
+        return inbound.connection->send(VersionUpdate{host_.configVersion(), host_.storeEra()});
     auto known = peers_.find(inbound.name);
     if (known != peers_.end())
         recordVersion(*known->second, version);
@@ -353,8 +355,10 @@
     }
     if (const auto* slowdown = std::get_if<SlowdownUpdate>(&message))
         return host_.onSlowdownChange(peer->record.name, peer->status.address, slowdown->isSlowed);
-    if (const auto* update = std::get_if<VersionUpdate>(&message))
+    if (const auto* update = std::get_if<VersionUpdate>(&message)) {
+        host_.onStoreEra(update->storeEra);
         return recordVersion(*peer, update->configVersion);
+    }
     if (const auto* update = std::get_if<FollowingUpdate>(&message)) {
         peer->isFollowingStore = update->isFollowingStore;
         return;
@@ -502,7 +506,7 @@
 // from any of those that watch the store.
 void Peers::publishVersion()
 {
-    auto frame = encodeFrame(VersionUpdate{host_.configVersion()});
+    auto frame = encodeFrame(VersionUpdate{host_.configVersion(), host_.storeEra()});
     std::vector<std::shared_ptr<PeerConnection>> connections;
     for (const auto& inbound : inboundPeers_)
         connections.push_back(inbound->connection);
@@ -539,7 +543,7 @@
 void Peers::compareVersion()
 {
     if (auto peer = randomReachable())
-        peer->connection->send(VersionUpdate{host_.configVersion()});
+        peer->connection->send(VersionUpdate{host_.configVersion(), host_.storeEra()});
 }
 
 Peers::PeerPointer Peers::randomReachable()
--- a/lib/Relay/StoreCalls.cpp
+++ b/lib/Relay/StoreCalls.cpp
@@ -18,6 +18,16 @@
     return Support::parseNumber<std::uint64_t>(std::string_view(value.data(), value.size()));
 }
 
+void StoreCalls::recordEra(std::uint64_t era)
+{
+    if (era <= era_)
+        return;
+    bool isFirst = era_ == 0;
+    era_ = era;
+    if (!isFirst && onEraRise)
+        onEraRise();
+}
+
 void StoreCalls::call(const StoreCall& call, Duration timeout, Done done)
 {
     if (isClosed_)
@@ -63,6 +73,7 @@
             reply = {response->status, std::move(response->body), eraOf(response->fields)};
         auto callback = std::move(*sharedDone);
         *sharedDone = nullptr;
+        recordEra(reply.era.value_or(0));
         callback(std::move(reply));
     });
 }
--- a/lib/Relay/StoreFollower.cpp
+++ b/lib/Relay/StoreFollower.cpp
@@ -46,8 +46,10 @@
         auto page = reply.status == httpOk ? codec_.readListing(reply.body) : std::nullopt;
         if (!page)
             log_.line(LogClass::Notable, "store-glance-failed", "collection={} status={} bytes={}", Support::nameOf(collectionNames, collection_), reply.status, reply.body.size());
-        else if (!page->objects.empty())
+        else if (!page->objects.empty()) {
+            era_ = reply.era;
             handlers_.onListing(page->objects);
+        }
     });
 }
 
@@ -88,9 +90,13 @@
     if (!page)
         return onFailure(reply, true);
     onSuccess();
+    if (!listed_.empty() && isFromOtherEra(reply))
+        return list({});
     // A watch from the first page's revision also returns the changes made while the other pages were read.
-    if (listed_.empty())
+    if (listed_.empty()) {
         revision_ = page->revision;
+        era_ = reply.era;
+    }
     listed_.insert(listed_.end(), page->objects.begin(), page->objects.end());
     if (page->isTruncated && !page->objects.empty())
         return list(page->objects.back().name);
@@ -110,8 +116,9 @@
 
 void StoreFollower::onChanges(const StoreReply& reply)
 {
-    if (reply.status == httpGone) {
-        log_.line(LogClass::Notable, "store-history-gone", "collection={} revision={}", Support::nameOf(collectionNames, collection_), revision_);
+    // In another era the revision stands for other changes, or for none yet, so the watch may have missed some.
+    if (reply.status == httpGone || isFromOtherEra(reply)) {
+        log_.line(LogClass::Notable, "store-history-gone", "collection={} revision={} status={} era={}", Support::nameOf(collectionNames, collection_), revision_, reply.status, reply.era.value_or(0));
         return list({});
     }
     auto changes = reply.status == httpOk ? codec_.readChanges(reply.body) : std::nullopt;
