Store: a single listing beside a watch leaves the watch's era alone

Cause: poll() may run while the collection is followed, and would have hidden from the open watch that the era has changed. Change: it sets the era only while nothing is followed. Result: the 4 StoreCopyTest tests pass again; no test of this race.

--- a/lib/Relay/StoreFollower.cpp
+++ b/lib/Relay/StoreFollower.cpp
@@ -47,7 +47,9 @@
         if (!page)
             log_.line(LogClass::Notable, "store-glance-failed", "collection={} status={} bytes={}", Support::nameOf(collectionNames, collection_), reply.status, reply.body.size());
         else if (!page->objects.empty()) {
-            era_ = reply.era;
+            // While it follows, the era belongs to the revision that it watches from.
+            if (!isRunning_)
+                era_ = reply.era;
             handlers_.onListing(page->objects);
         }
     });
