--- a/include/balsamreel/Relay/StoreFollower.h
+++ b/include/balsamreel/Relay/StoreFollower.h
@@ -30,6 +30,9 @@
     /// Lists the collection once; a failed call is not retried.
     void poll();
 
+    /// The era of the store that the objects in the handlers' current calls come from; null if it does not tell.
+    std::optional<std::uint64_t> era() const { return era_; }
+
     /// Starts following, or stops after the open call.
     void follow(bool isWanted);
 
