--- a/include/balsamreel/Relay/SharedRetryBudget.h
+++ b/include/balsamreel/Relay/SharedRetryBudget.h
@@ -32,6 +32,9 @@
     /// Consumes one retry. Returns false if none is left.
     bool tryConsume(Instant now, const std::string& service);
 
+    /// Consumes one retry unless that would leave too few for calls that have failed.
+    bool tryConsumeSpare(Instant now, const std::string& service);
+
 private:
     struct History {
         std::deque<Instant> requests;
@@ -39,6 +42,7 @@
     };
 
     void removeExpired(Instant now, History&) const;
+    bool tryConsumeWithin(Instant now, const std::string& service, double fraction);
 
     SharedRetryBudgetOptions options_;
     std::size_t nodeCount_ = 0; ///< 0: not known yet; no slack may be used
--- a/lib/Relay/SharedRetryBudget.cpp
+++ b/lib/Relay/SharedRetryBudget.cpp
@@ -7,6 +7,8 @@
 // Fraction of the budget that is used. The rest covers calls made by retried executions, which are retries for the services
 // they go to but can't be recognized as such there, and restarted nodes, which have lost their counts.
 constexpr double usedFraction = 0.4;
+// Fraction of the used budget that retries which are not urgent may take.
+constexpr double spareFraction = 0.5 * usedFraction;
 
 } // namespace
 
@@ -37,11 +39,21 @@
 }
 
 bool SharedRetryBudget::tryConsume(Instant now, const std::string& service)
+{
+    return tryConsumeWithin(now, service, usedFraction);
+}
+
+bool SharedRetryBudget::tryConsumeSpare(Instant now, const std::string& service)
+{
+    return tryConsumeWithin(now, service, spareFraction);
+}
+
+bool SharedRetryBudget::tryConsumeWithin(Instant now, const std::string& service, double fraction)
 {
     auto& history = histories_[service];
     removeExpired(now, history);
     double slackPart = nodeCount_ > 0 ? options_.slack / static_cast<double>(nodeCount_) : 0;
-    double allowed = usedFraction * (options_.ratio * static_cast<double>(history.requests.size()) + slackPart);
+    double allowed = fraction * (options_.ratio * static_cast<double>(history.requests.size()) + slackPart);
     if (static_cast<double>(history.retries.size()) + 1 > allowed)
         return false;
     history.retries.push_back(now);
--- a/unittests/Relay/SharedRetryBudgetTest.cpp
+++ b/unittests/Relay/SharedRetryBudgetTest.cpp
@@ -19,6 +19,22 @@
     EXPECT_TRUE(budget.tryConsume(start, "plots"));
 }
 
+TEST(SharedRetryBudget, KeepsHalfForUrgentRetries)
+{
+    SharedRetryBudget budget({0.5, 0, std::chrono::seconds(10)});
+    for (int index = 0; index < 100; ++index)
+        budget.recordRequest(start, "plots");
+    int spare = 0;
+    while (budget.tryConsumeSpare(start, "plots"))
+        ++spare;
+    int urgent = 0;
+    while (budget.tryConsume(start, "plots"))
+        ++urgent;
+    EXPECT_EQ(spare, 10);
+    EXPECT_EQ(urgent, 10);
+    EXPECT_FALSE(budget.tryConsumeSpare(start, "plots"));
+}
+
 // In every window all nodes together stay within the budget, however the requests are spread over them. The calls of
 // retried executions, for which the nodes leave a margin, are not simulated.
 RC_GTEST_PROP(SharedRetryBudget, AllNodesTogetherStayWithinBudget, ())
