Second attempts for slow idempotent calls

Cause: a call waits for its one open attempt until that ends, however slow its server is.

The first good response wins and the other attempt is cancelled; a failure of one doesn't end the call. It gives way to retries, to a lack of room and to the operator's limit. Off by default.

--- a/include/balsamreel/Relay/Entry.h
+++ b/include/balsamreel/Relay/Entry.h
@@ -8,6 +8,7 @@
 #include "balsamreel/Relay/Guard.h"
 #include "balsamreel/Relay/Peers.h"
 #include "balsamreel/Relay/RouteTable.h"
+#include "balsamreel/Relay/SecondAttemptPolicy.h"
 #include "balsamreel/Relay/SharedRetryBudget.h"
 #include "balsamreel/Support/Metrics.h"
 #include "balsamreel/Support/Random.h"
@@ -17,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +28,7 @@
 public:
     Entry(Loop&, const NodeSettings&, HeaderNames, std::uint64_t incarnation, Guard&, Peers&, EventLog&, Support::Metrics&);
 
-    void setRoutes(std::shared_ptr<RouteTable> routes) { routes_ = std::move(routes); }
+    void setRoutes(std::shared_ptr<RouteTable>);
 
     /// Marks the list of servers as outdated. It is rebuilt before the next attempt.
     void serversChanged() { areServersCurrent_ = false; }
@@ -54,6 +56,7 @@
         std::uint64_t serial = 0;
         Balance::ServerId server;
         Instant startedAt;
+        bool isSecond = false; ///< sent while another attempt of the call was open
     };
     struct Call {
         CallerRequest caller; ///< has no connection once the call has its response or the caller has left
@@ -73,8 +76,11 @@
         bool mayHaveRun = false;
         bool ignoresSlowdown = false; ///< all servers were found slowed down; the next guard must not refuse for that reason
         std::optional<ServerResponse> errorResponse; ///< a server's error response, returned unless a retry gets a better one
-        std::optional<Attempt> attempt;
+        std::vector<Attempt> openAttempts; ///< two at most
+        std::string lastServer; ///< node of the last attempt that was sent or ended
+        bool hadSecondAttempt = false;
         boost::asio::steady_timer timer;
+        std::optional<boost::asio::steady_timer> slowTimer; ///< expires when the open attempt is unusually slow
 
         explicit Call(Loop& loop)
             : timer(loop)
@@ -83,24 +89,38 @@
     };
     using CallPointer = std::shared_ptr<Call>;
 
+    // A refusal by a guard costs its server nothing. The limit lets a call end soon when all servers are full.
+    static constexpr unsigned maximumAttempts = 5;
+    static constexpr std::uint32_t firstServerError = 500; ///< HTTP status
+
     void updateServers();
     void refuseUnrouted(const CallerRequest&, const Request&, Reason, std::uint32_t status);
     void startNextAttempt(const CallPointer&, NotRun fallback);
-    void sendAttempt(const CallPointer&, const Balance::Choice&, const std::string& instance);
+    void sendAttempt(const CallPointer&, const Balance::Choice&, const std::string& instance, bool isSecond = false);
     void onOutcome(const CallPointer&, std::uint64_t serial, const Outcome&, const Wire::LoadStamp&);
     void reportOutcome(const CallPointer&, const Attempt&, const Outcome&, const Wire::LoadStamp&);
     void onNotRun(const CallPointer&, const NotRun&);
     void onUnknown(const CallPointer&, const Unknown&);
-    void onResponse(const CallPointer&, ServerResponse);
+    void onResponse(const CallPointer&, const Attempt&, ServerResponse);
     bool mayRetry(const Call&);
     void onDeadline(const CallPointer&);
-    void cancelAttempt(const CallPointer&);
+    void cancelAttempts(const CallPointer&);
+    void cancelAttempt(const Call&, const Attempt&);
     void finish(const CallPointer&, const ServerResponse&, Reason);
     void refuse(const CallPointer&, const NotRun&);
     void fail(const CallPointer&, Reason, std::uint32_t status);
     AttemptRequest makeAttemptRequest(const Call&, std::uint64_t serial, const std::string& instance, Instant now) const;
     std::optional<std::string> instanceOf(const Balance::ServerId&) const;
 
+    // Second attempts of slow calls, in EntrySecondAttempts.cpp.
+    bool mayHaveSecondAttempt(const Call&) const;
+    void learnFromOutcome(const Call&, Duration latency, const Outcome&);
+    void watchForSlowness(const CallPointer&, std::uint64_t serial);
+    void trySecondAttempt(const CallPointer&);
+    SecondAttemptVerdict decideSecondAttempt(const Call&, std::optional<Balance::Choice>&);
+    void logRoomChange(const Call&, SecondAttemptVerdict);
+    ServiceRoom roomOf(const std::string& service, Instant now) const;
+
     Loop& loop_;
     const NodeSettings& settings_;
     HeaderNames headerNames_;
@@ -112,6 +132,8 @@
     std::shared_ptr<RouteTable> routes_;
     Balance::Balancer balancer_;
     SharedRetryBudget retryBudget_;
+    SecondAttemptPolicy secondAttempts_;
+    std::set<std::string> servicesWithoutRoom_; ///< for second attempts
     Support::Random random_;
     std::uint64_t nextSerial_ = 1;
     std::map<CallerRequest, CallPointer> calls_;
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -224,6 +224,7 @@
     double quotaSlack = 0; ///< requests by which an account may exceed its limit in a window, besides
     double coldOverage = 1; ///< factor by which the requests to a cold server may exceed its limit in a second
     double coldSlack = 0; ///< requests by which they may exceed it, besides
+    double secondAttemptShare = 0; ///< second attempts per idempotent request; 0: none
     Duration otherDomainCost = std::chrono::milliseconds(100); ///< waiting time that is accepted to avoid traffic between failure domains
 };
 
--- a/lib/Relay/Entry.cpp
+++ b/lib/Relay/Entry.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace balsamreel::Relay {
 
@@ -17,9 +18,6 @@
 constexpr std::uint32_t badGateway = 502;
 constexpr std::uint32_t serviceUnavailable = 503;
 constexpr std::uint32_t gatewayTimeout = 504;
-constexpr std::uint32_t firstServerError = 500;
-// A refusal by a guard costs its server nothing. The limit lets a call end soon when all servers are full.
-constexpr unsigned maximumAttempts = 5;
 // Guards of servers that are slowed down may refuse earlier attempts of a call, so that other servers are tried. From
 // this attempt on, they run the call in spite of the slowdown.
 constexpr unsigned firstAttemptDespiteSlowdown = 4;
@@ -71,10 +69,18 @@
     , metrics_(metrics)
     , balancer_(settings.domain, incarnation, settings.otherDomainCost)
     , retryBudget_({settings.retryRatio, settings.retrySlack, settings.retryWindow})
+    , secondAttempts_(settings.secondAttemptShare)
     , random_(incarnation + 1)
 {
 }
 
+void Entry::setRoutes(std::shared_ptr<RouteTable> routes)
+{
+    routes_ = std::move(routes);
+    if (secondAttempts_.isEnabled())
+        secondAttempts_.retainRoutes(routes_->config().routes);
+}
+
 void Entry::slowdownChanged(const Balance::ServerId& server, bool isSlowed)
 {
     balancer_.slowdownChanged(Support::monotonicNow(), server, isSlowed);
@@ -162,6 +168,8 @@
     call->request = std::move(request);
     calls_[caller] = call;
     retryBudget_.recordRequest(now, call->service);
+    if (secondAttempts_.isEnabled() && route->isIdempotent)
+        secondAttempts_.recordRequest();
     call->timer.expires_after(call->deadline - now);
     call->timer.async_wait([this, call](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -216,14 +224,16 @@
     return message;
 }
 
-void Entry::sendAttempt(const CallPointer& call, const Balance::Choice& choice, const std::string& instance)
+void Entry::sendAttempt(const CallPointer& call, const Balance::Choice& choice, const std::string& instance, bool isSecond)
 {
     auto now = Support::monotonicNow();
     auto serial = nextSerial_++;
     ++call->attemptCount;
     call->triedServers.push_back(choice.server);
-    call->attempt = Attempt{serial, choice.server, now};
+    call->openAttempts.push_back({serial, choice.server, now, isSecond});
+    call->lastServer = choice.server.node;
     balancer_.started(now, choice.server, call->route->name);
+    watchForSlowness(call, serial);
     auto message = makeAttemptRequest(*call, serial, instance, now);
     auto done = [this, call, serial](const Outcome& outcome, const Wire::LoadStamp& stamp) { onOutcome(call, serial, outcome, stamp); };
     if (choice.server.node == settings_.name)
@@ -249,21 +259,24 @@
     else if (std::get<ServerResponse>(outcome).status >= firstServerError)
         feedback.result = Balance::AttemptResult::ServerError;
     balancer_.finished(now, attempt.server, feedback);
+    learnFromOutcome(*call, feedback.latency, outcome);
 }
 
 void Entry::onOutcome(const CallPointer& call, std::uint64_t serial, const Outcome& outcome, const Wire::LoadStamp& stamp)
 {
-    if (!call->attempt || call->attempt->serial != serial)
+    auto found = std::ranges::find(call->openAttempts, serial, &Attempt::serial);
+    if (found == call->openAttempts.end())
         return;
-    auto attempt = *call->attempt;
-    call->attempt.reset();
+    auto attempt = *found;
+    call->openAttempts.erase(found);
+    call->lastServer = attempt.server.node;
     reportOutcome(call, attempt, outcome, stamp);
     if (const auto* notRun = std::get_if<NotRun>(&outcome))
         return onNotRun(call, *notRun);
     ++call->serverAttemptCount;
     if (const auto* unknown = std::get_if<Unknown>(&outcome))
         return onUnknown(call, *unknown);
-    onResponse(call, std::get<ServerResponse>(outcome));
+    onResponse(call, attempt, std::get<ServerResponse>(outcome));
 }
 
 // A refusal by a guard costs the server nothing and needs no retry budget. A refusal by the server itself counts as an
@@ -274,10 +287,11 @@
         call->shortestWait = std::min(refusal.expectedWait, call->shortestWait.value_or(refusal.expectedWait));
     if (refusal.hasReachedServer) {
         ++call->serverAttemptCount;
-        if (!mayRetry(*call))
+        if (call->openAttempts.empty() && !mayRetry(*call))
             return refuse(call, refusal);
     }
-    startNextAttempt(call, refusal);
+    if (call->openAttempts.empty())
+        startNextAttempt(call, refusal);
 }
 
 // Consumes one retry of the shared budget if it returns true.
@@ -291,22 +305,32 @@
 void Entry::onUnknown(const CallPointer& call, const Unknown& unknown)
 {
     call->mayHaveRun = true;
+    if (!call->openAttempts.empty())
+        return;
     if (call->route->isIdempotent && Support::monotonicNow() < call->deadline && mayRetry(*call))
         return startNextAttempt(call, {unknown.reason, {}, false});
     fail(call, unknown.reason, badGateway);
 }
 
 // Guards omit the caller's attempt id from responses because it is known here.
-void Entry::onResponse(const CallPointer& call, ServerResponse response)
+void Entry::onResponse(const CallPointer& call, const Attempt& attempt, ServerResponse response)
 {
     if (!call->request.callerAttemptId.empty())
         response.headers.push_back({headerNames_.callerAttemptId, call->request.callerAttemptId});
     bool isError = response.status >= firstServerError;
+    if (isError && !call->openAttempts.empty()) {
+        call->mayHaveRun = true;
+        call->errorResponse = std::move(response);
+        return;
+    }
     if (isError && call->route->isIdempotent && Support::monotonicNow() < call->deadline && !call->errorResponse && mayRetry(*call)) {
         call->mayHaveRun = true;
         call->errorResponse = response;
         return startNextAttempt(call, {Reason::ServerShed, {}, false});
     }
+    if (attempt.isSecond && !isError)
+        metrics_.add("balsamreel_second_attempts_won_total");
+    cancelAttempts(call);
     finish(call, response, Reason::None);
 }
 
@@ -337,28 +361,34 @@
 {
     auto elapsed = Support::monotonicNow() - call->arrivedAt;
     bool isGood = response.status < firstServerError;
-    auto server = call->triedServers.empty() ? std::string("-") : call->triedServers.back().node;
+    auto server = call->lastServer.empty() ? std::string("-") : call->lastServer;
     log_.line(isGood ? LogClass::Routine : LogClass::Notable, "call", "id={} route={} account={} service={} config={} status={} reason={} server={} priority={} placements={} sent={} took_us={} goal_us={}", call->request.callerAttemptId, call->route->name, call->account, call->service, call->routes->version(), response.status, Support::nameOf(reasonNames, reason), server, call->priority, call->attemptCount, call->serverAttemptCount, elapsed.count(), call->route->targetLatency.count());
     metrics_.add(fmt::format("balsamreel_calls_total{{status=\"{}\",reason=\"{}\"}}", response.status, Support::nameOf(reasonNames, reason)));
     metrics_.observe("balsamreel_call_seconds", static_cast<double>(elapsed.count()) / 1e6);
     call->timer.cancel();
+    call->slowTimer.reset();
     calls_.erase(call->caller);
     auto caller = std::move(call->caller);
     caller.connection->respond(caller.number, response);
 }
 
-void Entry::cancelAttempt(const CallPointer& call)
+void Entry::cancelAttempts(const CallPointer& call)
+{
+    auto attempts = std::exchange(call->openAttempts, {});
+    for (const auto& attempt : attempts)
+        cancelAttempt(*call, attempt);
+}
+
+void Entry::cancelAttempt(const Call& call, const Attempt& attempt)
 {
-    if (!call->attempt)
-        return;
-    auto attempt = *call->attempt;
-    call->attempt.reset();
     Balance::Feedback feedback;
     feedback.result = Balance::AttemptResult::Abandoned;
     feedback.latency = Support::monotonicNow() - attempt.startedAt;
     feedback.startedAt = attempt.startedAt;
-    feedback.route = call->route->name;
+    feedback.route = call.route->name;
     balancer_.finished(Support::monotonicNow(), attempt.server, feedback);
+    if (secondAttempts_.isEnabled() && call.route->isIdempotent)
+        secondAttempts_.recordCancellation(call.route->name, feedback.latency);
     if (attempt.server.node == settings_.name)
         guard_.cancel({incarnation_, attempt.serial});
     else
@@ -369,7 +399,7 @@
 {
     if (!call->caller.connection)
         return;
-    cancelAttempt(call);
+    cancelAttempts(call);
     fail(call, Reason::TimedOut, gatewayTimeout);
 }
 
@@ -398,7 +428,8 @@
         calls_.erase(call->caller);
         call->caller = {};
         call->timer.cancel();
-        cancelAttempt(call);
+        call->slowTimer.reset();
+        cancelAttempts(call);
         log_.line(LogClass::Routine, "caller-left", "id={} route={} after_us={}", call->request.callerAttemptId, call->route->name, (Support::monotonicNow() - call->arrivedAt).count());
     }
 }
