--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -226,6 +226,7 @@
     double coldSlack = 0; ///< requests by which they may exceed it, besides
     bool followsEvacuations = false; ///< the operator may take failure domains out of service
     Duration storeRecoveryTime = std::chrono::seconds(15); ///< in which others write again what a store from an older copy lacks
+    double secondAttemptShare = 0; ///< second attempts per idempotent request; 0: none
     Duration otherDomainCost = std::chrono::milliseconds(100); ///< waiting time that is accepted to avoid traffic between failure domains
 };
 
