--- a/include/balsamreel/Relay/Body.h
+++ b/include/balsamreel/Relay/Body.h
@@ -15,8 +15,8 @@
 
 class BodyBudget;
 
-/// Size of the pieces in which a body is held, and sent between nodes.
-constexpr std::size_t bodySegmentBytes = 16 * 1024;
+/// Size of the pieces in which a body is held, and sent between nodes. Leaves room for the allocator below a power of two.
+constexpr std::size_t bodySegmentBytes = 15 * 1024;
 
 /// An immutable body. Copies share its bytes, which are given back to the budget with the last copy.
 class Body {
@@ -30,7 +30,6 @@
     std::string text() const; ///< a copy in one piece
 
     friend bool operator==(const Body& left, const Body& right) { return left.text() == right.text(); }
-    friend bool operator==(const Body& left, std::string_view right) { return left.text() == right; }
 
 private:
     friend class BodyReceiver;
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -46,7 +46,7 @@
 // The remaining descriptors are for peers, the server, the store and the log.
 constexpr double callerDescriptorShare = 0.5;
 // Share of the memory that the bodies of requests may hold together. The rest is left to responses, connections and the node itself.
-constexpr std::uint64_t bodyMemoryDivisor = 2;
+constexpr std::uint64_t bodyMemorySixteenths = 7;
 // A request that is received without pause is not cut.
 constexpr Duration minimumCallerStall = std::chrono::milliseconds(500);
 constexpr Duration bodyShortageEnd = std::chrono::seconds(1);
@@ -68,7 +68,7 @@
     , settingsSource_(std::move(settingsSource))
     , incarnation_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
-    , bodies_(std::make_shared<BodyBudget>(settings_.maximumMemory / bodyMemoryDivisor))
+    , bodies_(std::make_shared<BodyBudget>(settings_.maximumMemory / 16 * bodyMemorySixteenths))
     , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
     , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }, bodies_})
     , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, log_, metrics_)
--- a/lib/Relay/RequestPipeline.cpp
+++ b/lib/Relay/RequestPipeline.cpp
@@ -15,9 +15,10 @@
 
 // Per connection, so that one connection can't use up the node's memory or all slots of a service.
 constexpr std::size_t maximumOpenRequests = 16;
-// Limit on the input that a caller may send ahead, and on the responses that it may leave unread, before the node stops
-// reading from it.
+// Limits on the responses that a caller may leave unread and on the input that it may send ahead, before the node stops reading
+// from it. The latter is no part of the budget for bodies.
 constexpr std::size_t maximumUnreadBytes = 64 * 1024;
+constexpr std::size_t maximumWaitingInput = 16 * 1024;
 // Limit on a chunk header line of a chunked body, and on the trailer fields.
 constexpr std::size_t maximumFramingBytes = 16 * 1024;
 constexpr std::uint32_t badRequest = 400;
@@ -75,7 +76,7 @@
 
 bool RequestPipeline::wantsInput() const
 {
-    return !hasEnded_ && (!isBlocked() || input_.size() < maximumUnreadBytes);
+    return !hasEnded_ && (!isBlocked() || input_.size() < maximumWaitingInput);
 }
 
 ReadPhase RequestPipeline::phase() const
@@ -233,7 +234,7 @@
             continue;
         hasEnded_ = true;
         isReadingDone_ = true;
-        input_.clear();
+        input_ = {};
         return;
     }
     if (open_.empty() && isContinueDue_) {
