--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -95,7 +95,9 @@
     void followSettings(Instant now);
     void reload(std::string_view cause);
     void applySettings(const NodeSettings&);
-    void closeIdleCallerIfFull();
+    void closeCallerIfFull();
+    std::shared_ptr<CallerConnection> longestStalledCaller(Instant now) const;
+    void reportBodyMemory(Instant now);
     std::string metricsText();
 
     Loop& loop_;
@@ -109,6 +111,7 @@
     Support::Metrics metrics_;
     EventLog log_;
     Evacuations evacuations_;
+    std::shared_ptr<BodyBudget> bodies_; ///< of callers and of other nodes
     Guard guard_;
     Peers peers_;
     AccountLimits accountLimits_;
@@ -136,6 +139,9 @@
     Instant lastStateQuery_;
     Instant lastVersionComparison_;
     Instant lastWatcherSelection_;
+    std::uint64_t reportedRefusals_ = 0; ///< of bodies
+    Instant lastBodyRefusal_;
+    bool isBodyMemoryShort_ = false;
     Instant lastPoll_;
     bool hasListedEvacuations_ = false; ///< from the store, since the start
     bool publishedFollowing_ = false; ///< as last published to the peers
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -46,6 +46,7 @@
         std::function<void(const std::string& node, const Quota::TokenReply&)> onTokenReply;
         std::function<std::uint64_t()> storeEra; ///< the newest era of the store that this node has learned of
         std::function<void(std::uint64_t era)> onStoreEra; ///< the era that a peer has learned of
+        std::shared_ptr<BodyBudget> bodies; ///< limits the memory of all bodies together
     };
 
     Peers(Loop&, const NodeSettings&, std::uint64_t incarnation, Guard&, EventLog&, Host);
@@ -136,6 +137,14 @@
     };
     using PeerPointer = std::shared_ptr<Peer>;
 
+    /// An attempt whose body has not arrived completely. The guard does not know of it yet.
+    struct IncompleteAttempt {
+        AttemptRequest request;
+        BodyReceiver body;
+        std::size_t bodyBytes = 0; ///< of the complete body
+        Instant deadline;
+    };
+
     /// A connection that another node has opened, and the attempts received on it.
     struct InboundPeer {
         std::shared_ptr<PeerConnection> connection;
@@ -143,6 +152,7 @@
         std::uint64_t incarnation = 0;
         AttemptDecoder decoder;
         std::set<std::uint64_t> openAttempts;
+        std::map<std::uint64_t, IncompleteAttempt> incompleteAttempts; ///< by serial
         Instant lastAttemptAt; ///< when the last attempt was received
     };
     using InboundPeerPointer = std::shared_ptr<InboundPeer>;
@@ -153,6 +163,9 @@
     void onInboundLost(const InboundPeerPointer&);
     Guard::Done replyCallback(const InboundPeerPointer&, std::uint64_t serial);
     void onAttemptRequest(const InboundPeerPointer&, CompactAttemptRequest&&);
+    void onLongAttemptRequest(const InboundPeerPointer&, LongAttemptRequest&&);
+    void onBodyPart(const InboundPeerPointer&, const BodyPart&);
+    void refuseBody(InboundPeer&, std::uint64_t serial) const;
     void onOutcomeQuery(const InboundPeerPointer&, const OutcomeQuery&);
     void dial(const PeerPointer&);
     void onDialed(const PeerPointer&, const std::shared_ptr<Socket>&, bool isFailed);
