Guard: a server that does not answer a health request counts as cold

Where cold servers are limited, held requests were all sent when the health request had no response within 15 ms. Such a server now counts as cold for 200 ms and is asked again.

--- a/lib/Relay/GuardServerState.cpp
+++ b/lib/Relay/GuardServerState.cpp
@@ -16,6 +16,8 @@
 constexpr auto maximumWaitForPersistedState = std::chrono::milliseconds(600);
 // If the server does not report its slowdown within this time, the held attempts start without it.
 constexpr auto probeTimeout = std::chrono::milliseconds(15);
+// A server that does not respond to a health request in time may be cold, so it counts as cold until it is asked again.
+constexpr Duration unansweredColdTime = std::chrono::milliseconds(200);
 constexpr std::uint32_t ok = 200;
 
 } // namespace
@@ -268,6 +270,10 @@
         if (!updateSlowdownState({load.data(), load.size()}))
             startPolicy_.setUnobservable();
     } else {
+        if (cold_.needsReport()) {
+            cold_.assumeCold(Support::monotonicNow(), serviceConfig_.coldTime - unansweredColdTime);
+            updateColdState();
+        }
         // Without a response there is no reason to hold attempts.
         auto tickets = std::move(held_);
         held_.clear();
