Bodies of requests: one budget for the node, held once, in parts between nodes

Cause: a node held the bodies of all callers without a common limit and copied each for every step of an attempt; a body above 16 MiB could not pass to another node at all. Crowds that stop short, or just send, took its memory. Change: BodyBudget (7/16 of the memory limit) counts bytes as they arrive and refuses the bodies that stalled longest, with 503; a reserve is kept for small ones. A body is held once in segments and shared. Bodies above 64 KiB follow their request between nodes in BodyPart messages as the socket drains. When descriptors run short, unfinished requests that stalled are closed too. Input that waits behind other requests is limited to 16 KiB a connection. AttemptCodecTest and RequestPipelineTest changed in types only.

--- a/include/balsamreel/Relay/AttemptCodec.h
+++ b/include/balsamreel/Relay/AttemptCodec.h
@@ -14,13 +14,16 @@
 /// Contexts kept per peer connection; a new one replaces the oldest.
 constexpr std::size_t contextSlotCount = 64;
 
+/// Longer bodies follow their request in parts.
+constexpr std::size_t maximumInlineBodyBytes = 64 * 1024;
+
 /// Sending side of one peer connection. Reduces the traffic between failure domains, which has a price: after their
 /// first use, a request names its route, server and headers by one byte.
 class AttemptEncoder {
 public:
     struct Encoded {
         std::optional<ContextDefinition> definition; ///< if set, must be sent before the request
-        CompactAttemptRequest request;
+        CompactAttemptRequest request; ///< without the body if that is long
     };
     Encoded encode(const AttemptRequest&);
 
--- a/include/balsamreel/Relay/CallerConnection.h
+++ b/include/balsamreel/Relay/CallerConnection.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace balsamreel::Relay {
@@ -34,6 +35,7 @@
         std::function<bool(const IncomingRequest&)> canRunConcurrently; ///< with other requests of the same connection
         std::function<CallerLimits()> limits;
         std::function<bool()> isShuttingDown; ///< while true, a connection ends after the last request that has been read
+        std::shared_ptr<BodyBudget> bodies; ///< limits the memory of all bodies together
     };
 
     CallerConnection(Socket, Handlers);
@@ -49,6 +51,9 @@
     /// Whether the connection is open, and no request is open or partially received.
     bool isIdle() const;
 
+    /// When the last bytes of a partially received request arrived; nothing if other requests are open, or none is partially received.
+    std::optional<Instant> stalledSince() const;
+
 private:
     static constexpr std::size_t readBytes = 8 * 1024;
 
@@ -67,6 +72,7 @@
     std::array<char, readBytes> input_{};
     std::string output_; ///< the bytes that are being written
     ReadPhase phase_ = ReadPhase::Idle; ///< that the timer was armed for
+    Instant lastReadAt_; ///< initially the time of construction
     std::size_t lingeredBytes_ = 0;
     bool isAdvancing_ = false;
     bool isReading_ = false;
--- a/include/balsamreel/Relay/HttpClientConnection.h
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -55,7 +55,10 @@
     HttpClientConnection& operator=(const HttpClientConnection&) = delete;
 
     /// Connects if necessary and sends a serialized request. The callback is called once, unless close() is called first.
-    void exchange(std::string text, ResponseMatch, bool isHead, Done);
+    void exchange(std::string text, ResponseMatch match, bool isHead, Done done) { exchange(std::move(text), Body(), std::move(match), isHead, std::move(done)); }
+
+    /// The same with the body apart, which is not copied.
+    void exchange(std::string head, Body, ResponseMatch, bool isHead, Done);
 
     /// Closes the connection and drops a pending callback.
     void close();
@@ -92,6 +95,7 @@
     boost::beast::flat_buffer input_;
     std::optional<Parser> parser_;
     std::string output_;
+    Body body_; ///< sent after output_
     std::shared_ptr<ResponseMemoryBudget> memoryBudget_;
     std::size_t heldBytes_ = 0; ///< share of this connection in memoryBudget_
     std::uint64_t number_ = 0;
--- a/include/balsamreel/Relay/HttpText.h
+++ b/include/balsamreel/Relay/HttpText.h
@@ -21,6 +21,9 @@
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
 /// Writes Content-Length also for an empty body, unless the method is GET, HEAD or DELETE.
+std::string serializeRequestHead(const Request&, const std::vector<Header>& addedHeaders);
+
+/// The head and a copy of the body.
 std::string serializeRequest(const Request&, const std::vector<Header>& addedHeaders);
 
 /// With isClosing, adds "Connection: close". A response to HEAD has no body and no Content-Length.
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -1,6 +1,7 @@
 // Data types of the event-driven node: routes, requests, responses, servers. Independent of all wire formats.
 #pragma once
 
+#include "balsamreel/Relay/Body.h"
 #include "balsamreel/Support/Clock.h"
 #include "balsamreel/Support/Endpoint.h"
 #include "balsamreel/Support/NameTable.h"
@@ -91,7 +92,7 @@
     std::string target; ///< path and query, unchanged
     std::string host;
     std::vector<Header> headers; ///< end-to-end headers, except those that the node sets itself
-    std::string body;
+    Body body;
 };
 
 /// A complete response of a server, or of the node itself.
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -86,7 +86,9 @@
     void followSettings(Instant now);
     void reload(std::string_view cause);
     void applySettings(const NodeSettings&);
-    void closeIdleCallerIfFull();
+    void closeCallerIfFull();
+    std::shared_ptr<CallerConnection> longestStalledCaller(Instant now) const;
+    void reportBodyMemory(Instant now);
     std::string metricsText();
 
     Loop& loop_;
@@ -99,6 +101,7 @@
     std::uint64_t incarnation_;
     Support::Metrics metrics_;
     EventLog log_;
+    std::shared_ptr<BodyBudget> bodies_; ///< of callers and of other nodes
     Guard guard_;
     Peers peers_;
     Entry entry_;
@@ -124,6 +127,9 @@
     Instant lastStateQuery_;
     Instant lastVersionComparison_;
     Instant lastWatcherSelection_;
+    std::uint64_t reportedRefusals_ = 0; ///< of bodies
+    Instant lastBodyRefusal_;
+    bool isBodyMemoryShort_ = false;
     Instant lastPoll_;
     bool publishedFollowing_ = false; ///< as last published to the peers
     bool isShuttingDown_ = false;
--- a/include/balsamreel/Relay/PeerConnection.h
+++ b/include/balsamreel/Relay/PeerConnection.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,6 +36,12 @@
     /// Sends an encoded message, so that a message to many peers is encoded once.
     void sendFrame(std::string_view frame);
 
+    /// Sends the body of a LongAttemptRequest in parts, between other messages and as the peer reads.
+    void sendBody(std::uint64_t serial, Body);
+
+    /// Drops what has not been sent of a body.
+    void cancelBody(std::uint64_t serial);
+
     /// Closes the connection because of an error; onClosed gets the cause.
     void fail(const std::string& cause);
 
@@ -47,15 +54,23 @@
     Instant lastReceivedAt() const { return lastReceivedAt_; }
 
 private:
+    struct OutgoingBody {
+        std::uint64_t serial = 0;
+        Body body;
+        std::size_t nextSegment = 0;
+    };
+
     void read();
     bool processFrames();
     void write();
+    void queueBodyParts();
 
     Socket socket_;
     Handlers handlers_;
     boost::beast::flat_buffer input_;
     std::string pending_; ///< frames to write once writing_ is sent
     std::string writing_;
+    std::deque<OutgoingBody> bodies_;
     bool isOpen_ = true;
     Instant lastReceivedAt_;
 };
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -152,6 +152,18 @@
     std::string body;
 };
 
+/// A request whose body follows in parts, so that it does not hold up other messages.
+struct LongAttemptRequest {
+    CompactAttemptRequest request; ///< without a body
+    std::uint32_t bodyBytes = 0;
+};
+
+/// The next part of the body of a LongAttemptRequest.
+struct BodyPart {
+    std::uint64_t serial = 0; ///< of the attempt
+    std::string bytes;
+};
+
 /// The outcome of an attempt, with the load of the guard.
 struct AttemptReply {
     std::uint64_t serial = 0;
@@ -176,7 +188,7 @@
 
 struct Pong { };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery>;
+using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery, LongAttemptRequest, BodyPart>;
 
 /// Returns a complete frame, including its length field.
 std::string encodeFrame(const PeerMessage&);
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -40,6 +40,7 @@
         std::function<bool()> isFollowingStore;
         std::function<void()> onServersChanged;
         std::function<void(const std::string& node, const Support::Endpoint& server, bool isSlowed)> onSlowdownChange; ///< only for nodes of the same failure domain
+        std::shared_ptr<BodyBudget> bodies; ///< limits the memory of all bodies together
     };
 
     Peers(Loop&, const NodeSettings&, std::uint64_t incarnation, Guard&, EventLog&, Host);
@@ -111,6 +112,14 @@
     };
     using PeerPointer = std::shared_ptr<Peer>;
 
+    /// An attempt whose body has not arrived completely. The guard does not know of it yet.
+    struct IncompleteAttempt {
+        AttemptRequest request;
+        BodyReceiver body;
+        std::size_t bodyBytes = 0; ///< of the complete body
+        Instant deadline;
+    };
+
     /// A connection that another node has opened, and the attempts received on it.
     struct InboundPeer {
         std::shared_ptr<PeerConnection> connection;
@@ -118,6 +127,7 @@
         std::uint64_t incarnation = 0;
         AttemptDecoder decoder;
         std::set<std::uint64_t> openAttempts;
+        std::map<std::uint64_t, IncompleteAttempt> incompleteAttempts; ///< by serial
         Instant lastAttemptAt; ///< when the last attempt was received
     };
     using InboundPeerPointer = std::shared_ptr<InboundPeer>;
@@ -128,6 +138,9 @@
     void onInboundLost(const InboundPeerPointer&);
     Guard::Done replyCallback(const InboundPeerPointer&, std::uint64_t serial);
     void onAttemptRequest(const InboundPeerPointer&, CompactAttemptRequest&&);
+    void onLongAttemptRequest(const InboundPeerPointer&, LongAttemptRequest&&);
+    void onBodyPart(const InboundPeerPointer&, const BodyPart&);
+    void refuseBody(InboundPeer&, std::uint64_t serial) const;
     void onOutcomeQuery(const InboundPeerPointer&, const OutcomeQuery&);
     void dial(const PeerPointer&);
     void onDialed(const PeerPointer&, const std::shared_ptr<Socket>&, bool isFailed);
--- a/include/balsamreel/Relay/RequestPipeline.h
+++ b/include/balsamreel/Relay/RequestPipeline.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "balsamreel/Relay/Model.h"
+#include "balsamreel/Relay/ReceivedBody.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -37,6 +37,8 @@
     struct Handlers {
         std::function<CallerLimits()> limits;
         std::function<bool(const IncomingRequest&)> canRunConcurrently; ///< with other requests of the same connection
+        std::shared_ptr<BodyBudget> bodies = nullptr; ///< null: only the size of each body is limited
+        std::function<void()> onBodyRefused = nullptr; ///< there is output, as the body was dropped to make room for others
     };
     struct NumberedRequest {
         RequestNumber number = 0;
@@ -44,6 +46,8 @@
     };
 
     explicit RequestPipeline(Handlers);
+    RequestPipeline(const RequestPipeline&) = delete;
+    RequestPipeline& operator=(const RequestPipeline&) = delete;
 
     /// Processes bytes received from the caller.
     void receive(std::string_view bytes);
@@ -69,7 +73,7 @@
     ReadPhase phase() const;
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<ReceivedBody>;
 
     /// A request that waits for its response or for the responses before it.
     struct OpenRequest {
@@ -87,6 +91,7 @@
     void onHeaderComplete();
     void onRequestComplete();
     void reject(std::uint32_t status);
+    void onBodyRefused();
     void writeResponses();
     std::uint32_t checkHeader() const; ///< returns the status to reject the request with; 0: valid
 
--- a/lib/Relay/AttemptCodec.cpp
+++ b/lib/Relay/AttemptCodec.cpp
@@ -8,7 +8,9 @@
 {
     const auto& httpRequest = request.request;
     Encoded encoded;
-    encoded.request = {request.serial, 0, request.canGoElsewhere, request.timeoutMicros, request.latencyTargetMicros, httpRequest.callerAttemptId, request.account, httpRequest.target, httpRequest.body};
+    encoded.request = {request.serial, 0, request.canGoElsewhere, request.timeoutMicros, request.latencyTargetMicros, httpRequest.callerAttemptId, request.account, httpRequest.target, {}};
+    if (httpRequest.body.size() <= maximumInlineBodyBytes)
+        encoded.request.body = httpRequest.body.text();
     AttemptContext context{request.instance, request.route, request.priority, request.isIdempotent, request.originService, httpRequest.method, httpRequest.host, httpRequest.headers};
     auto known = slotByContext_.find(context);
     if (known != slotByContext_.end()) {
--- a/lib/Relay/CallerConnection.cpp
+++ b/lib/Relay/CallerConnection.cpp
@@ -16,8 +16,9 @@
 CallerConnection::CallerConnection(Socket socket, Handlers handlers)
     : socket_(std::move(socket))
     , handlers_(std::move(handlers))
-    , pipeline_({handlers_.limits, handlers_.canRunConcurrently})
+    , pipeline_({handlers_.limits, handlers_.canRunConcurrently, handlers_.bodies, [this] { advance(); }})
     , timer_(socket_.get_executor())
+    , lastReadAt_(Support::monotonicNow())
 {
 }
 
@@ -96,6 +97,7 @@
         lingeredBytes_ += count;
         return lingeredBytes_ > maximumLingeredBytes ? close() : read();
     }
+    lastReadAt_ = Support::monotonicNow();
     pipeline_.receive({input_.data(), count});
     advance();
 }
@@ -153,6 +155,12 @@
     return !isClosed_ && !isWriting_ && !isLingering_ && !pipeline_.hasOpenRequests() && pipeline_.phase() == ReadPhase::Idle;
 }
 
+std::optional<Instant> CallerConnection::stalledSince() const
+{
+    bool isReceiving = !isClosed_ && !isWriting_ && !isLingering_ && !pipeline_.hasOpenRequests() && pipeline_.phase() != ReadPhase::Idle;
+    return isReceiving ? std::optional(lastReadAt_) : std::nullopt;
+}
+
 void CallerConnection::close()
 {
     if (isClosed_)
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -267,8 +267,8 @@
     admission_.begin(now, ticket);
     attempt.wasSlowed = startPolicy_.slowdownState(now) == SlowdownState::Slowed;
     attempt.connection = takeConnection(attempt.request, now);
-    auto text = serializeRequest(attempt.request.request, addedHeaders(attempt, now));
-    attempt.connection->exchange(std::move(text), {names_.callerAttemptId, attempt.request.request.callerAttemptId}, attempt.request.request.method == "HEAD", [this, ticket](HttpResult result) { onServerResponse(ticket, std::move(result)); });
+    auto head = serializeRequestHead(attempt.request.request, addedHeaders(attempt, now));
+    attempt.connection->exchange(std::move(head), attempt.request.request.body, {names_.callerAttemptId, attempt.request.request.callerAttemptId}, attempt.request.request.method == "HEAD", [this, ticket](HttpResult result) { onServerResponse(ticket, std::move(result)); });
 }
 
 Outcome Guard::outcomeOf(const Attempt& attempt, HttpResponse&& response)
--- a/lib/Relay/HttpClientConnection.cpp
+++ b/lib/Relay/HttpClientConnection.cpp
@@ -54,9 +54,10 @@
     return !value.empty() && std::ranges::find(sentValues_, std::hash<std::string_view>()(value)) == sentValues_.end();
 }
 
-void HttpClientConnection::exchange(std::string text, ResponseMatch match, bool isHead, Done done)
+void HttpClientConnection::exchange(std::string head, Body body, ResponseMatch match, bool isHead, Done done)
 {
-    output_ = std::move(text);
+    output_ = std::move(head);
+    body_ = std::move(body);
     match_ = std::move(match);
     isHead_ = isHead;
     done_ = std::move(done);
@@ -95,7 +96,11 @@
 void HttpClientConnection::write()
 {
     auto self = shared_from_this();
-    boost::asio::async_write(socket_, boost::asio::buffer(output_), [self](const boost::system::error_code& error, std::size_t) {
+    std::vector<boost::asio::const_buffer> buffers{boost::asio::buffer(output_)};
+    for (const auto& segment : body_.segments())
+        buffers.push_back(boost::asio::buffer(segment));
+    // The handler keeps the body, as the exchange may end before it is written.
+    boost::asio::async_write(socket_, buffers, [self, body = std::move(body_)](const boost::system::error_code& error, std::size_t) {
         if (self->isClosed_)
             return;
         // The failure is left to the read handler, which detects it too and may still receive a response sent before it.
--- a/lib/Relay/HttpText.cpp
+++ b/lib/Relay/HttpText.cpp
@@ -75,10 +75,10 @@
     return {};
 }
 
-std::string serializeRequest(const Request& request, const std::vector<Header>& addedHeaders)
+std::string serializeRequestHead(const Request& request, const std::vector<Header>& addedHeaders)
 {
     std::string text;
-    text.reserve(512 + request.body.size());
+    text.reserve(512);
     text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     append(text, "Host", request.host);
     for (const auto& header : request.headers)
@@ -88,10 +88,15 @@
     bool hasBody = !request.body.empty() || (request.method != "GET" && request.method != "HEAD" && request.method != "DELETE");
     if (hasBody)
         append(text, "Content-Length", std::to_string(request.body.size()));
-    text.append("\r\n").append(request.body);
+    text.append("\r\n");
     return text;
 }
 
+std::string serializeRequest(const Request& request, const std::vector<Header>& addedHeaders)
+{
+    return serializeRequestHead(request, addedHeaders) + request.body.text();
+}
+
 std::string serializeResponse(const ServerResponse& response, bool isClosing, bool isHeadResponse)
 {
     auto reason = http::obsolete_reason(static_cast<http::status>(response.status));
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -45,6 +45,11 @@
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 // The remaining descriptors are for peers, the server, the store and the log.
 constexpr double callerDescriptorShare = 0.5;
+// Share of the memory that the bodies of requests may hold together. The rest is left to responses, connections and the node itself.
+constexpr std::uint64_t bodyMemorySixteenths = 7;
+// A request that is received without pause is not cut.
+constexpr Duration minimumCallerStall = std::chrono::milliseconds(500);
+constexpr Duration bodyShortageEnd = std::chrono::seconds(1);
 constexpr std::string_view metricsPath = "/metrics";
 
 ServerResponse emptyResponse(std::uint32_t status)
@@ -63,8 +68,9 @@
     , settingsSource_(std::move(settingsSource))
     , incarnation_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
+    , bodies_(std::make_shared<BodyBudget>(settings_.maximumMemory / 16 * bodyMemorySixteenths))
     , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
-    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }})
+    , peers_(loop, settings_, incarnation_, guard_, log_, {[this] { return configVersion_; }, [this] { return configContent_; }, [this](const std::string& content) { applyConfig(content, "peer"); }, [this] { return configFollower_.isConnected(); }, [this] { entry_.serversChanged(); }, [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); }, bodies_})
     , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, log_, metrics_)
     , storeCalls_(loop, settings_.store, codec_.store.eraHeader)
     , configFollower_(loop, storeCalls_, codec_.store, Collection::Configuration, configWatchPause, incarnation_ + 2, log_, {[this](const std::vector<StoredObject>& objects) {
@@ -139,7 +145,7 @@
         }
         boost::system::error_code ignored; // a failure only delays small responses
         socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        closeIdleCallerIfFull();
+        closeCallerIfFull();
         auto connection = std::make_shared<CallerConnection>(std::move(socket), handlers);
         callers_.insert(connection);
         connection->start();
@@ -147,18 +153,49 @@
     });
 }
 
-// Closes an idle connection to make room for a new one, so that descriptors remain for peers, the server and the store.
-void Node::closeIdleCallerIfFull()
+// Closes an idle or stalled connection to make room for a new one, so that descriptors remain for peers, the server and the store.
+void Node::closeCallerIfFull()
 {
     auto maximumCallers = static_cast<std::size_t>(settings_.maximumDescriptors * callerDescriptorShare);
     if (callers_.size() < maximumCallers)
         return;
+    // Its onClosed handler removes it from callers_ later.
     auto idle = std::ranges::find_if(callers_, [](const auto& caller) { return caller->isIdle(); });
-    if (idle == callers_.end())
+    if (idle != callers_.end()) {
+        metrics_.add("balsamreel_idle_callers_closed_total");
+        return (*idle)->close();
+    }
+    auto stalled = longestStalledCaller(Support::monotonicNow());
+    if (!stalled)
         return;
-    metrics_.add("balsamreel_idle_callers_closed_total");
-    // Its onClosed handler removes it from callers_ later.
-    (*idle)->close();
+    metrics_.add("balsamreel_stalled_callers_closed_total");
+    stalled->close();
+}
+
+std::shared_ptr<CallerConnection> Node::longestStalledCaller(Instant now) const
+{
+    std::shared_ptr<CallerConnection> longest;
+    auto since = now - minimumCallerStall;
+    for (const auto& caller : callers_) {
+        auto stalledSince = caller->stalledSince();
+        if (!stalledSince || *stalledSince >= since)
+            continue;
+        since = *stalledSince;
+        longest = caller;
+    }
+    return longest;
+}
+
+void Node::reportBodyMemory(Instant now)
+{
+    auto refusals = bodies_->refusedCount();
+    if (refusals != reportedRefusals_)
+        lastBodyRefusal_ = now;
+    bool isShort = refusals > 0 && now - lastBodyRefusal_ < bodyShortageEnd;
+    if (isShort != isBodyMemoryShort_)
+        log_.line(LogClass::Notable, isShort ? "body-memory-short" : "body-memory-free", "held={} limit={} refused={}", bodies_->heldBytes(), bodies_->limit(), refusals);
+    reportedRefusals_ = refusals;
+    isBodyMemoryShort_ = isShort;
 }
 
 CallerConnection::Handlers Node::callerHandlers()
@@ -173,6 +210,7 @@
     handlers.canRunConcurrently = [this](const IncomingRequest& incoming) { return entry_.canRunConcurrently(incoming); };
     handlers.limits = [this] { return limits_; };
     handlers.isShuttingDown = [this] { return isShuttingDown_; };
+    handlers.bodies = bodies_;
     return handlers;
 }
 
@@ -350,6 +388,7 @@
     guard_.tick(now);
     followStore(now);
     queryPeers(now);
+    reportBodyMemory(now);
     tick_.expires_after(tickInterval);
     tick_.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -454,6 +493,9 @@
     metrics_.set("balsamreel_server_limit_per_second", guard_.rateLimit().value_or(std::numeric_limits<double>::infinity()));
     metrics_.set("balsamreel_server_leaving", guard_.hasServerLeft() ? 1 : 0);
     metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
+    metrics_.set("balsamreel_body_bytes", static_cast<double>(bodies_->heldBytes()));
+    metrics_.set("balsamreel_body_bytes_limit", static_cast<double>(bodies_->limit()));
+    metrics_.set("balsamreel_bodies_refused", static_cast<double>(bodies_->refusedCount()));
     metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
     metrics_.set("balsamreel_store_calls", static_cast<double>(storeCalls_.count()));
     metrics_.set("balsamreel_log_lines_left_out", static_cast<double>(log_.droppedLineCount()));
--- a/lib/Relay/PeerConnection.cpp
+++ b/lib/Relay/PeerConnection.cpp
@@ -11,6 +11,10 @@
 
 // Closes the connection to a peer that has stopped reading before the frames queued for it exhaust the memory.
 constexpr std::size_t maximumPendingBytes = 16U * 1024 * 1024;
+// Parts of bodies that are written before the next messages.
+constexpr std::size_t bodyPartsPerWrite = 4;
+// TCP_NOTSENT_LOWAT of a connection that carries long bodies: what the system holds ahead of other messages.
+constexpr int maximumUnsentBytes = 64 * 1024;
 constexpr std::size_t readBytes = 16 * 1024;
 // TCP_USER_TIMEOUT: a connection is dead if sent data stays unacknowledged for this long.
 constexpr int userTimeoutMillis = 1500;
@@ -94,8 +98,38 @@
         write();
 }
 
+void PeerConnection::sendBody(std::uint64_t serial, Body body)
+{
+    if (!isOpen_)
+        return;
+    boost::system::error_code ignored; // without it, other messages wait for more of the body
+    socket_.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>(maximumUnsentBytes), ignored);
+    bodies_.push_back({serial, std::move(body), 0});
+    if (writing_.empty())
+        write();
+}
+
+void PeerConnection::cancelBody(std::uint64_t serial)
+{
+    std::erase_if(bodies_, [serial](const OutgoingBody& outgoing) { return outgoing.serial == serial; });
+}
+
+// The bodies take turns.
+void PeerConnection::queueBodyParts()
+{
+    for (std::size_t count = 0; count < bodyPartsPerWrite && !bodies_.empty(); ++count) {
+        auto outgoing = std::move(bodies_.front());
+        bodies_.pop_front();
+        const auto& segments = outgoing.body.segments();
+        pending_ += encodeFrame(BodyPart{outgoing.serial, segments[outgoing.nextSegment]});
+        if (++outgoing.nextSegment < segments.size())
+            bodies_.push_back(std::move(outgoing));
+    }
+}
+
 void PeerConnection::write()
 {
+    queueBodyParts();
     writing_.swap(pending_);
     auto self = shared_from_this();
     boost::asio::async_write(socket_, boost::asio::buffer(writing_), [self](const boost::system::error_code& error, std::size_t) {
@@ -104,7 +138,7 @@
         if (error)
             return self->fail(error.message());
         self->writing_.clear();
-        if (!self->pending_.empty())
+        if (!self->pending_.empty() || !self->bodies_.empty())
             self->write();
     });
 }
@@ -128,6 +162,7 @@
     if (!isOpen_)
         return;
     isOpen_ = false;
+    bodies_.clear();
     boost::system::error_code ignored; // the connection may be closed already
     socket_.close(ignored);
     auto self = shared_from_this();
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -160,6 +160,19 @@
     longText(archive, request.body);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LongAttemptRequest& message)
+{
+    archive(message.request, message.bodyBytes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BodyPart& part)
+{
+    archive(part.serial);
+    longText(archive, part.bytes);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, ServerResponse& response)
 {
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -28,6 +28,8 @@
 // A node that has sent no attempt for this long gets no slowdown updates: it would receive a hundred for each call.
 constexpr Duration slowdownUpdateWindow = std::chrono::seconds(1);
 constexpr std::size_t maximumVersionReceivers = 16;
+// For a body that the node had no memory for.
+constexpr Duration bodyRetryDelay = std::chrono::seconds(1);
 // accept() mostly fails for lack of file descriptors, so it is retried after a delay.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -113,6 +115,7 @@
     if (isClosed_)
         return;
     inboundPeers_.erase(inbound);
+    inbound->incompleteAttempts.clear();
     auto open = std::move(inbound->openAttempts);
     inbound->openAttempts.clear();
     if (!open.empty())
@@ -131,7 +134,12 @@
             connection->fail("context slot is out of range");
     } else if (auto* request = std::get_if<CompactAttemptRequest>(&message))
         onAttemptRequest(inbound, std::move(*request));
+    else if (auto* longRequest = std::get_if<LongAttemptRequest>(&message))
+        onLongAttemptRequest(inbound, std::move(*longRequest));
+    else if (const auto* part = std::get_if<BodyPart>(&message))
+        onBodyPart(inbound, *part);
     else if (const auto* cancel = std::get_if<Cancel>(&message)) {
+        inbound->incompleteAttempts.erase(cancel->serial);
         inbound->openAttempts.erase(cancel->serial);
         guard_.cancel({inbound->incarnation, cancel->serial});
     } else if (const auto* outcomeQuery = std::get_if<OutcomeQuery>(&message))
@@ -191,13 +199,63 @@
     guard_.submit({inbound->incarnation, request->serial}, *request, replyCallback(inbound, request->serial));
 }
 
+// The guard learns of the attempt only with its whole body, so an attempt whose connection is lost before has not run.
+void Peers::onLongAttemptRequest(const InboundPeerPointer& inbound, LongAttemptRequest&& message)
+{
+    auto request = inbound->decoder.decode(std::move(message.request));
+    if (!request || message.bodyBytes <= maximumInlineBodyBytes || message.bodyBytes > maximumFrameBytes)
+        return inbound->connection->fail("invalid request with a long body");
+    auto now = Support::monotonicNow();
+    auto serial = request->serial;
+    inbound->lastAttemptAt = now;
+    std::weak_ptr<InboundPeer> weak = inbound;
+    auto onRefused = [this, weak, serial] {
+        if (auto strong = weak.lock())
+            refuseBody(*strong, serial);
+    };
+    auto deadline = now + Duration(request->timeoutMicros);
+    inbound->incompleteAttempts[serial] = {std::move(*request), BodyReceiver(host_.bodies, std::move(onRefused)), message.bodyBytes, deadline};
+}
+
+// Parts of an attempt that was refused or cancelled may still arrive.
+void Peers::onBodyPart(const InboundPeerPointer& inbound, const BodyPart& part)
+{
+    auto found = inbound->incompleteAttempts.find(part.serial);
+    if (found == inbound->incompleteAttempts.end())
+        return;
+    auto now = Support::monotonicNow();
+    auto& attempt = found->second;
+    if (attempt.body.size() + part.bytes.size() > attempt.bodyBytes)
+        return inbound->connection->fail("body is longer than announced");
+    if (!attempt.body.append(part.bytes, now))
+        return refuseBody(*inbound, part.serial);
+    if (attempt.body.size() < attempt.bodyBytes)
+        return;
+    auto request = std::move(attempt.request);
+    request.request.body = attempt.body.finish();
+    auto remaining = microsUntil(now, attempt.deadline);
+    auto delay = request.timeoutMicros - std::min(request.timeoutMicros, remaining);
+    request.timeoutMicros = std::max(1U, remaining);
+    request.latencyTargetMicros -= std::min(request.latencyTargetMicros, delay);
+    inbound->incompleteAttempts.erase(found);
+    guard_.submit({inbound->incarnation, part.serial}, request, replyCallback(inbound, part.serial));
+}
+
+void Peers::refuseBody(InboundPeer& inbound, std::uint64_t serial) const
+{
+    inbound.incompleteAttempts.erase(serial);
+    inbound.connection->send(AttemptReply{serial, NotRun{Reason::MemoryExhausted, bodyRetryDelay, false}, guard_.loadStamp()});
+}
+
 // The loss of the old connection may be detected only after this query. The attempt is removed from the old connection, so
 // that its loss does not cancel the attempt.
 void Peers::onOutcomeQuery(const InboundPeerPointer& inbound, const OutcomeQuery& outcomeQuery)
 {
     for (const auto& other : inboundPeers_) {
-        if (other->incarnation == outcomeQuery.senderIncarnation)
-            other->openAttempts.erase(outcomeQuery.serial);
+        if (other->incarnation != outcomeQuery.senderIncarnation)
+            continue;
+        other->openAttempts.erase(outcomeQuery.serial);
+        other->incompleteAttempts.erase(outcomeQuery.serial);
     }
     auto deadline = Support::monotonicNow() + Duration(outcomeQuery.timeoutMicros);
     guard_.queryOutcome({outcomeQuery.senderIncarnation, outcomeQuery.serial}, deadline, replyCallback(inbound, outcomeQuery.serial));
@@ -392,6 +450,8 @@
 
 void Peers::onAttemptReply(const PeerPointer& peer, const AttemptReply& reply)
 {
+    if (peer->connection)
+        peer->connection->cancelBody(reply.serial);
     auto attempt = peer->pending.extract(reply.serial);
     if (!attempt.empty())
         attempt.mapped().done(reply.outcome, reply.stamp);
@@ -473,7 +533,11 @@
     auto encoded = peer.encoder.encode(request);
     if (encoded.definition)
         peer.connection->send(std::move(*encoded.definition));
-    peer.connection->send(std::move(encoded.request));
+    const auto& body = request.request.body;
+    if (body.size() <= maximumInlineBodyBytes)
+        return peer.connection->send(std::move(encoded.request));
+    peer.connection->send(LongAttemptRequest{std::move(encoded.request), static_cast<std::uint32_t>(body.size())});
+    peer.connection->sendBody(request.serial, body);
 }
 
 void Peers::cancel(const std::string& node, std::uint64_t serial)
@@ -482,8 +546,10 @@
     if (found == peers_.end())
         return;
     auto& peer = *found->second;
-    if (peer.pending.erase(serial) > 0 && peer.connection)
-        peer.connection->send(Cancel{serial});
+    if (peer.pending.erase(serial) == 0 || !peer.connection)
+        return;
+    peer.connection->cancelBody(serial);
+    peer.connection->send(Cancel{serial});
 }
 
 void Peers::publishSlowdown()
--- a/lib/Relay/RequestPipeline.cpp
+++ b/lib/Relay/RequestPipeline.cpp
@@ -15,14 +15,17 @@
 
 // Per connection, so that one connection can't use up the node's memory or all slots of a service.
 constexpr std::size_t maximumOpenRequests = 16;
-// Limit on the input that a caller may send ahead, and on the responses that it may leave unread, before the node stops
-// reading from it.
+// Limits on the responses that a caller may leave unread and on the input that it may send ahead, before the node stops reading
+// from it. The latter is no part of the budget for bodies.
 constexpr std::size_t maximumUnreadBytes = 64 * 1024;
+constexpr std::size_t maximumWaitingInput = 16 * 1024;
 // Limit on a chunk header line of a chunked body, and on the trailer fields.
 constexpr std::size_t maximumFramingBytes = 16 * 1024;
 constexpr std::uint32_t badRequest = 400;
 constexpr std::uint32_t payloadTooLarge = 413;
 constexpr std::uint32_t headersTooLarge = 431;
+constexpr std::uint32_t serviceUnavailable = 503;
+constexpr std::string_view retryAfterRefusedBody = "1"; // seconds
 constexpr unsigned http11 = 11;
 
 std::uint32_t statusOf(const boost::system::error_code& error)
@@ -31,6 +34,8 @@
         return headersTooLarge;
     if (error == http::error::body_limit)
         return payloadTooLarge;
+    if (error == boost::system::errc::not_enough_memory)
+        return serviceUnavailable;
     return badRequest;
 }
 
@@ -49,6 +54,8 @@
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser_->body_limit(limits.bodyBytes);
+    if (handlers_.bodies)
+        parser_->get().body() = BodyReceiver(handlers_.bodies, [this] { onBodyRefused(); });
     hasSeenHeader_ = false;
 }
 
@@ -69,7 +76,7 @@
 
 bool RequestPipeline::wantsInput() const
 {
-    return !hasEnded_ && (!isBlocked() || input_.size() < maximumUnreadBytes);
+    return !hasEnded_ && (!isBlocked() || input_.size() < maximumWaitingInput);
 }
 
 ReadPhase RequestPipeline::phase() const
@@ -154,7 +161,7 @@
     pending_->request.method = std::string(message.method_string());
     pending_->request.target = std::string(message.target());
     pending_->request.host = std::string(message[http::field::host]);
-    pending_->request.body = std::move(message.body());
+    pending_->request.body = message.body().finish();
     pending_->fields = std::move(message.base());
     isContinueDue_ = false;
     restartParser();
@@ -197,16 +204,25 @@
 void RequestPipeline::reject(std::uint32_t status)
 {
     isReadingDone_ = true;
-    hasSeenHeader_ = false;
     isContinueDue_ = false;
+    restartParser(); // drops the body
     OpenRequest open;
     open.number = nextNumber_++;
     open.isLast = true;
     open.response = ServerResponse{status, {}, {}};
+    if (status == serviceUnavailable)
+        open.response->headers.push_back({"Retry-After", std::string(retryAfterRefusedBody)});
     open_.push_back(std::move(open));
     writeResponses();
 }
 
+void RequestPipeline::onBodyRefused()
+{
+    reject(serviceUnavailable);
+    if (handlers_.onBodyRefused)
+        handlers_.onBodyRefused();
+}
+
 void RequestPipeline::writeResponses()
 {
     while (!open_.empty() && open_.front().response) {
@@ -218,7 +234,7 @@
             continue;
         hasEnded_ = true;
         isReadingDone_ = true;
-        input_.clear();
+        input_ = {};
         return;
     }
     if (open_.empty() && isContinueDue_) {
--- a/unittests/Relay/AttemptCodecTest.cpp
+++ b/unittests/Relay/AttemptCodecTest.cpp
@@ -16,7 +16,7 @@
     request.route = route;
     request.originService = "service";
     request.timeoutMicros = 1'000'000;
-    request.request = {"0123456789abcdef", "GET", "/prefix/item", "a.example", {{"User-Agent", "client/1.0.0"}, {"Accept", "*/*"}, {"Accept-Encoding", "identity"}}, ""};
+    request.request = {"0123456789abcdef", "GET", "/prefix/item", "a.example", {{"User-Agent", "client/1.0.0"}, {"Accept", "*/*"}, {"Accept-Encoding", "identity"}}, {}};
     return request;
 }
 
--- a/unittests/Relay/RequestPipelineTest.cpp
+++ b/unittests/Relay/RequestPipelineTest.cpp
@@ -98,7 +98,7 @@
             RC_ASSERT(takenCount < sent.size());
             const auto& expected = sent[takenCount];
             RC_ASSERT(next->incoming.request.target == expected.target);
-            RC_ASSERT(next->incoming.request.body == expected.body);
+            RC_ASSERT(next->incoming.request.body.text() == expected.body);
             bool isView = expected.target.starts_with("/view/");
             for (const auto& [number, index] : open)
                 RC_ASSERT(isView && sent[index].target.starts_with("/view/"));
