--- a/lib/Relay/RouteTable.cpp
+++ b/lib/Relay/RouteTable.cpp
@@ -19,8 +19,7 @@
 void sortDistinct(std::vector<std::uint32_t>& values)
 {
     std::ranges::sort(values);
-    auto repeated = std::ranges::unique(values);
-    values.erase(repeated.begin(), repeated.end());
+    values.erase(std::unique(values.begin(), values.end()), values.end());
 }
 
 std::uint32_t rankOf(const std::vector<std::uint32_t>& values, std::uint32_t value)
