--- a/unittests/Quota/AccountLimiterTest.cpp
+++ b/unittests/Quota/AccountLimiterTest.cpp
@@ -137,8 +137,11 @@
             auto& account = accounts[index];
             auto perStep = account.limit.requestsPerSecond * std::chrono::duration<double>(step).count();
             account.oracleTokens = std::min(account.limit.burst, account.oracleTokens + perStep);
-            for (auto due = account.demand * perStep; random.fraction() < due; due -= 1)
+            auto due = account.demand * perStep;
+            while (random.fraction() < due) {
                 request(index);
+                due -= 1;
+            }
         }
     }
 
--- a/unittests/Relay/HttpClientConnectionTest.cpp
+++ b/unittests/Relay/HttpClientConnectionTest.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace balsamreel::Relay {
 
@@ -142,7 +143,8 @@
 {
     const std::string start = "HTTP/1.1 200 OK\r\n";
     const std::string length = "Content-Length: 1\r\n\r\nx";
-    for (const auto& response : {start + "Na me: v\r\n" + length, start + "Name : v\r\n" + length, start + "Na\tme: v\r\n" + length, start + "Na\x01me: v\r\n" + length, start + std::string("Na\0me: v\r\n", 10) + length, start + "Name: v\x01w\r\n" + length, start + ": v\r\n" + length, start + "Transfer-Encoding: chunked\r\n\r\n1;a b\x01\r\nx\r\n0\r\n\r\n", start + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nTr ailer: v\r\n\r\n", start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxy", start + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n1\r\nx\r\n0\r\n\r\n"}) {
+    const std::vector<std::string> responses{start + "Na me: v\r\n" + length, start + "Name : v\r\n" + length, start + "Na\tme: v\r\n" + length, start + "Na\x01me: v\r\n" + length, start + std::string("Na\0me: v\r\n", 10) + length, start + "Name: v\x01w\r\n" + length, start + ": v\r\n" + length, start + "Transfer-Encoding: chunked\r\n\r\n1;a b\x01\r\nx\r\n0\r\n\r\n", start + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nTr ailer: v\r\n\r\n", start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxy", start + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n1\r\nx\r\n0\r\n\r\n"};
+    for (const auto& response : responses) {
         auto result = exchange(response, Ending::None, 0ms, 10);
         ASSERT_TRUE(std::holds_alternative<HttpFailure>(result)) << response;
         EXPECT_EQ(std::get<HttpFailure>(result), HttpFailure::Malformed) << response;
