balsamd: limit the header of a request to 32 KiB

Callers saw: a node that grew by 125 to 245 MB for 100 connections whose headers stopped short or were whole. Cause: POCO accepts a hundred fields of 8 KiB, and has no limit on the header as a whole; entry and guard each copy it. Change: accepted sockets count what is read until the header is complete and read as ended beyond the limit.

--- a/include/balsamreel/Support/Http.h
+++ b/include/balsamreel/Support/Http.h
@@ -20,6 +20,7 @@
     int maximumConnections = 600; ///< each is served by its own thread while it is open
     int idleSeconds = 30; ///< a keep-alive connection is closed after this time without a request
     int requestSeconds = 30; ///< longest silence while a request is being read
+    std::size_t maximumHeaderBytes = 32UL * 1024; ///< a connection with a longer header is closed
 };
 
 /// HTTP server on POCO Net for nodes and stand-ins. Runs the handler for each request on the connection's own thread.
--- a/lib/Support/Http.cpp
+++ b/lib/Support/Http.cpp
@@ -1,10 +1,12 @@
 #include "balsamreel/Support/Http.h"
 
+#include "balsamreel/Support/HeaderLimit.h"
 #include "balsamreel/Support/Log.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/URI.h>
@@ -28,7 +30,13 @@
     {
     }
 
-    void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override { handler_(request, response); }
+    void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override
+    {
+        auto& socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+        allowBody(socket);
+        handler_(request, response);
+        expectHeader(socket);
+    }
 
 private:
     const HttpHandler& handler_;
@@ -52,9 +60,9 @@
 // Handlers keep their buffers on the heap, so a small stack suffices and a thread per connection stays cheap.
 constexpr int handlerStackBytes = 256 * 1024;
 
-Poco::Net::ServerSocket bindSocket(const Endpoint& endpoint)
+Poco::Net::ServerSocket bindSocket(const Endpoint& endpoint, std::size_t maximumHeaderBytes)
 {
-    Poco::Net::ServerSocket socket;
+    HeaderLimitedServerSocket socket(maximumHeaderBytes);
     socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true, false);
     // Accepted connections inherit these options on Linux.
     setConnectionTimeouts(socket);
@@ -95,7 +103,7 @@
 
 HttpService::HttpService(const Endpoint& endpoint, HttpHandler handler, HttpServerOptions options)
     : threads_(2, options.maximumConnections + 1, threadIdleSeconds, handlerStackBytes)
-    , server_(std::make_unique<Poco::Net::HTTPServer>(new FunctionHandlerFactory(std::move(handler)), threads_, bindSocket(endpoint), makeParams(options)))
+    , server_(std::make_unique<Poco::Net::HTTPServer>(new FunctionHandlerFactory(std::move(handler)), threads_, bindSocket(endpoint, options.maximumHeaderBytes), makeParams(options)))
 {
 }
 
