--- a/include/balsamreel/Relay/Body.h
+++ b/include/balsamreel/Relay/Body.h
@@ -1,20 +1,18 @@
-// Bodies of requests: held once and shared, and counted in a budget of the whole node.
+// Bodies of requests and responses: held once and shared, and counted in a budget of the whole node.
 #pragma once
 
+#include "balsamreel/Relay/MemoryBudget.h"
 #include "balsamreel/Support/Clock.h"
 
-#include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace balsamreel::Relay {
 
-class BodyBudget;
-
 /// Size of the pieces in which a body is held, and sent between nodes. Leaves room for the allocator below a power of two.
 constexpr std::size_t bodySegmentBytes = 15 * 1024;
 
@@ -23,6 +21,10 @@
 public:
     Body() = default;
     Body(std::string text); ///< belongs to no budget
+    Body(const char* text); ///< belongs to no budget
+
+    /// Returns a copy that belongs to the budget; nothing if that has no room.
+    std::optional<Body> copyInto(const std::shared_ptr<MemoryBudget>&, Support::Instant now) const;
 
     std::size_t size() const { return content_ ? content_->size : 0; }
     bool empty() const { return size() == 0; }
@@ -35,9 +37,10 @@
     friend class BodyReceiver;
 
     struct Content {
-        ~Content();
+        ~Content() { drop(); }
+        void drop();
 
-        std::shared_ptr<BodyBudget> budget;
+        std::shared_ptr<MemoryBudget> budget;
         std::vector<std::string> segments;
         std::size_t size = 0;
     };
@@ -50,8 +53,9 @@
 public:
     BodyReceiver() = default; ///< belongs to no budget
 
-    /// The callback is called at most once, if what has arrived has to be dropped to make room for others.
-    BodyReceiver(std::shared_ptr<BodyBudget>, std::function<void()> onRefused);
+    /// The callback is called at most once, if what has arrived has to be dropped to make room for others. Without a callback
+    /// the body is never dropped.
+    BodyReceiver(std::shared_ptr<MemoryBudget>, std::function<void()> onRefused);
 
     /// Adds the next bytes; false if the budget has no room for them.
     bool append(std::string_view bytes, Support::Instant now);
@@ -62,55 +66,18 @@
     Body finish();
 
 private:
-    friend class BodyBudget;
-
     struct Incomplete {
-        ~Incomplete();
-
         std::shared_ptr<Body::Content> content;
         std::function<void()> onRefused;
-        Support::Instant progressAt; ///< when the last segment's worth of bytes was complete
-        std::size_t progressBytes = 0; ///< size at that time
-        std::list<Incomplete*>::iterator position; ///< in the budget, if there is one
+        MemoryBudget::Holder holder;
     };
 
     Incomplete& incomplete(Support::Instant now);
+    static void refuse(Incomplete&);
 
-    std::shared_ptr<BodyBudget> budget_;
+    std::shared_ptr<MemoryBudget> budget_;
     std::function<void()> onRefused_;
     std::unique_ptr<Incomplete> incomplete_;
 };
 
-/// Limits the memory that all bodies of a node hold together. When it runs out, bodies that have stalled are dropped, the one
-/// that has stalled longest first. A reserve is kept for small bodies.
-class BodyBudget {
-public:
-    explicit BodyBudget(std::size_t limit);
-
-    std::size_t limit() const { return limit_; }
-    std::size_t heldBytes() const { return heldBytes_; }
-
-    /// Number of bodies that were dropped or not taken for lack of room.
-    std::uint64_t refusedCount() const { return refusedCount_; }
-
-private:
-    friend class Body;
-    friend class BodyReceiver;
-    using Incomplete = BodyReceiver::Incomplete;
-
-    void add(Incomplete&);
-    void remove(const Incomplete&);
-    bool tryTake(const Incomplete& requester, std::size_t bytes, Support::Instant now);
-    void giveBack(std::size_t bytes) { heldBytes_ -= bytes; }
-    void onProgress(Incomplete&, Support::Instant now);
-    Incomplete* findStalled(const Incomplete& requester, bool includesSmall, Support::Instant now) const;
-    void refuse(Incomplete&, Support::Instant now);
-
-    std::size_t limit_;
-    std::size_t smallBodyReserve_;
-    std::size_t heldBytes_ = 0;
-    std::uint64_t refusedCount_ = 0;
-    std::list<Incomplete*> incomplete_; ///< the one that has stalled longest first
-};
-
 } // namespace balsamreel::Relay
--- a/include/balsamreel/Relay/CallerConnection.h
+++ b/include/balsamreel/Relay/CallerConnection.h
@@ -35,7 +35,8 @@
         std::function<bool(const IncomingRequest&)> canRunConcurrently; ///< with other requests of the same connection
         std::function<CallerLimits()> limits;
         std::function<bool()> isShuttingDown; ///< while true, a connection ends after the last request that has been read
-        std::shared_ptr<BodyBudget> bodies; ///< limits the memory of all bodies together
+        std::shared_ptr<MemoryBudget> requestMemory; ///< of all connections together
+        std::shared_ptr<MemoryBudget> responseMemory; ///< of all connections together
     };
 
     CallerConnection(Socket, Handlers);
@@ -51,7 +52,8 @@
     /// Whether the connection is open, and no request is open or partially received.
     bool isIdle() const;
 
-    /// When the last bytes of a partially received request arrived; nothing if other requests are open, or none is partially received.
+    /// When the caller last read bytes of a response, or sent bytes of a partially received request; nothing if the connection
+    /// does not wait for the caller.
     std::optional<Instant> stalledSince() const;
 
 private:
@@ -61,6 +63,7 @@
     void read();
     void onRead(const boost::system::error_code&, std::size_t);
     void write();
+    void onWriteProgress(std::size_t written);
     void linger();
     void armTimer(Duration);
     void armReadTimer();
@@ -71,6 +74,10 @@
     boost::asio::steady_timer timer_;
     std::array<char, readBytes> input_{};
     std::string output_; ///< the bytes that are being written
+    MemoryReservation outputMemory_; ///< of output_
+    MemoryBudget::Holder unread_; ///< the responses that the caller has not read
+    std::size_t writtenBytes_ = 0; ///< before output_, since unread_ was attached
+    Instant lastWriteAt_; ///< when the socket last took bytes, or a write began
     ReadPhase phase_ = ReadPhase::Idle; ///< that the timer was armed for
     Instant lastReadAt_; ///< initially the time of construction
     std::size_t lingeredBytes_ = 0;
--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -36,7 +36,8 @@
 public:
     using Done = std::function<void(const Outcome&, const Wire::LoadStamp&)>;
 
-    Guard(Loop&, const NodeSettings&, HeaderNames, ServerReportReaders, EventLog&);
+    /// Responses count in the budget as soon as their bytes arrive.
+    Guard(Loop&, const NodeSettings&, HeaderNames, ServerReportReaders, std::shared_ptr<MemoryBudget> responseMemory, EventLog&);
 
     /// Admits, queues or refuses an attempt. Calls back once, possibly before returning, unless the attempt is
     /// cancelled.
@@ -186,7 +187,7 @@
     bool isSlowed_ = false;
     boost::asio::steady_timer discoveryTimer_;
     std::shared_ptr<HttpClientConnection> discoveryConnection_; ///< queries an unannounced server for its instance id
-    std::shared_ptr<ResponseMemoryBudget> responseMemory_;
+    std::shared_ptr<MemoryBudget> responseMemory_;
     std::vector<std::shared_ptr<HttpClientConnection>> idleConnections_; ///< most recently used last
     boost::asio::steady_timer tickTimer_;
     bool isTickScheduled_ = false;
--- a/include/balsamreel/Relay/HttpClientConnection.h
+++ b/include/balsamreel/Relay/HttpClientConnection.h
@@ -3,9 +3,9 @@
 
 #include "balsamreel/Relay/Model.h"
 #include "balsamreel/Relay/PeerConnection.h"
+#include "balsamreel/Relay/ReceivedBody.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <functional>
 #include <memory>
@@ -21,12 +21,13 @@
 struct HttpResponse {
     std::uint32_t status = 0;
     boost::beast::http::fields fields;
-    std::string body;
+    Body body;
 };
 
 enum class HttpFailure : std::uint8_t { Unreachable, ///< could not connect; nothing was sent
     ConnectionLost, ///< closed before the response was complete
-    Malformed ///< not a valid response to this request
+    Malformed, ///< not a valid response to this request
+    MemoryExhausted ///< the node has no memory for the response
 };
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
@@ -38,19 +39,12 @@
     std::string value;
 };
 
-/// Limits the memory that incomplete responses on several connections hold together, in bytes.
-struct ResponseMemoryBudget {
-    std::size_t limit = 0;
-    std::size_t held = 0;
-};
-
 class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection> {
 public:
     using Done = std::function<void(HttpResult)>;
 
     /// Without a budget, only the size of each response is limited. The number names the connection in log lines.
-    HttpClientConnection(Loop&, Support::Endpoint, std::shared_ptr<ResponseMemoryBudget> = nullptr, std::uint64_t number = 0);
-    ~HttpClientConnection() { updateHeldBytes(0); }
+    HttpClientConnection(Loop&, Support::Endpoint, std::shared_ptr<MemoryBudget> = nullptr, std::uint64_t number = 0);
     HttpClientConnection(const HttpClientConnection&) = delete;
     HttpClientConnection& operator=(const HttpClientConnection&) = delete;
 
@@ -74,7 +68,7 @@
     std::uint64_t requestCount() const { return requestCount_; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
     void connect();
     void write();
@@ -82,8 +76,6 @@
     void parse();
     void onEndOfStream();
     void restartParser();
-    bool updateHeldBytes(std::size_t bytes);
-    bool isWithinBounds(bool needsMore);
     bool skipResponse();
     bool handleResponse();
     std::string_view matchedValue(); ///< of the response; empty if it has none
@@ -96,8 +88,7 @@
     std::optional<Parser> parser_;
     std::string output_;
     Body body_; ///< sent after output_
-    std::shared_ptr<ResponseMemoryBudget> memoryBudget_;
-    std::size_t heldBytes_ = 0; ///< share of this connection in memoryBudget_
+    std::shared_ptr<MemoryBudget> responseMemory_;
     std::uint64_t number_ = 0;
     std::uint64_t requestCount_ = 0; ///< sent so far, including the current one
     unsigned skippedResponses_ = 0; ///< since the request was sent
--- a/include/balsamreel/Relay/HttpText.h
+++ b/include/balsamreel/Relay/HttpText.h
@@ -26,7 +26,10 @@
 /// The head and a copy of the body.
 std::string serializeRequest(const Request&, const std::vector<Header>& addedHeaders);
 
-/// With isClosing, adds "Connection: close". A response to HEAD has no body and no Content-Length.
+/// With isClosing, adds "Connection: close". A response to HEAD has no Content-Length.
+std::string serializeResponseHead(const ServerResponse&, bool isClosing, bool isHeadResponse);
+
+/// The head and a copy of the body, which a response to HEAD does not have.
 std::string serializeResponse(const ServerResponse&, bool isClosing, bool isHeadResponse);
 
 } // namespace balsamreel::Relay
--- a/include/balsamreel/Relay/Model.h
+++ b/include/balsamreel/Relay/Model.h
@@ -93,13 +93,14 @@
     std::string host;
     std::vector<Header> headers; ///< end-to-end headers, except those that the node sets itself
     Body body;
+    std::shared_ptr<const MemoryReservation> headerMemory; ///< counts what all copies of the headers take; null: not counted
 };
 
 /// A complete response of a server, or of the node itself.
 struct ServerResponse {
     std::uint32_t status = 0;
     std::vector<Header> headers; ///< end-to-end headers
-    std::string body;
+    Body body;
 };
 
 /// Why a call or an attempt did not end with a server's response.
@@ -127,7 +128,7 @@
     QuotaExceeded, ///< the client account has used up its limit
     ServerCold, ///< the server takes only a limited rate of requests while it is cold
     DomainEvacuated, ///< the operator has taken the failure domain of the server out of service
-    MemoryExhausted }; ///< the node has no memory for the body of the request
+    MemoryExhausted }; ///< a node has no memory for the request or the response
 
 constexpr Support::NameTable<Reason, 25> reasonNames{{{Reason::None, "none"}, {Reason::NoConfiguration, "no-configuration"}, {Reason::NoServer, "no-server"}, {Reason::Overloaded, "overloaded"}, {Reason::DeadlineTooNear, "deadline-too-near"}, {Reason::ServerSlowed, "server-slowed"}, {Reason::ServerLeaving, "server-leaving"}, {Reason::WrongServer, "wrong-server"}, {Reason::ServerShed, "server-shed"}, {Reason::ServerUnreachable, "server-unreachable"}, {Reason::ServerConnectionLost, "server-broke"}, {Reason::BadResponse, "bad-answer"}, {Reason::PeerLost, "peer-lost"}, {Reason::TimedOut, "timed-out"}, {Reason::CallerLeft, "caller-left"}, {Reason::NoRoute, "no-route"}, {Reason::BadRequest, "bad-request"}, {Reason::ShuttingDown, "shutting-down"}, {Reason::RateLimited, "rate-limited"}, {Reason::OutcomeDropped, "outcome-dropped"}, {Reason::UnknownKey, "unknown-key"}, {Reason::QuotaExceeded, "quota-exceeded"}, {Reason::ServerCold, "server-cold"}, {Reason::DomainEvacuated, "domain-evacuated"}, {Reason::MemoryExhausted, "memory-exhausted"}}};
 
--- a/include/balsamreel/Relay/Node.h
+++ b/include/balsamreel/Relay/Node.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "balsamreel/Relay/AccountLimits.h"
-#include "balsamreel/Relay/CallerConnection.h"
+#include "balsamreel/Relay/CallerConnections.h"
 #include "balsamreel/Relay/Entry.h"
 #include "balsamreel/Relay/Evacuations.h"
 #include "balsamreel/Relay/EventLog.h"
 #include "balsamreel/Relay/Guard.h"
+#include "balsamreel/Relay/MemoryReport.h"
 #include "balsamreel/Relay/NodeDirectory.h"
+#include "balsamreel/Relay/NodeMemory.h"
 #include "balsamreel/Relay/Peers.h"
 #include "balsamreel/Relay/StoreFollower.h"
 #include "balsamreel/Relay/WatcherSelection.h"
@@ -20,7 +22,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 
@@ -65,8 +66,9 @@
 
 private:
     void listen(boost::asio::ip::tcp::acceptor&, const Support::Endpoint&);
-    void accept(boost::asio::ip::tcp::acceptor&, const CallerConnection::Handlers&);
+    void accept(boost::asio::ip::tcp::acceptor&, CallerConnections&, const CallerConnection::Handlers&);
     Peers::Host peersHost();
+    CallerConnection::Handlers handlersFor(CallerConnections&);
     CallerConnection::Handlers callerHandlers();
     CallerConnection::Handlers controlHandlers();
     void onControl(const CallerRequest&, IncomingRequest&&);
@@ -95,9 +97,8 @@
     void followSettings(Instant now);
     void reload(std::string_view cause);
     void applySettings(const NodeSettings&);
-    void closeCallerIfFull();
-    std::shared_ptr<CallerConnection> longestStalledCaller(Instant now) const;
-    void reportBodyMemory(Instant now);
+    void setConnectionLimits();
+    bool makeRoom(CallerConnections&);
     std::string metricsText();
 
     Loop& loop_;
@@ -111,7 +112,8 @@
     Support::Metrics metrics_;
     EventLog log_;
     Evacuations evacuations_;
-    std::shared_ptr<BodyBudget> bodies_; ///< of callers and of other nodes
+    std::shared_ptr<NodeMemory> memory_;
+    MemoryReport memoryReport_;
     Guard guard_;
     Peers peers_;
     AccountLimits accountLimits_;
@@ -129,7 +131,8 @@
     boost::asio::steady_timer tick_;
     boost::asio::steady_timer shutdownTimer_;
     boost::asio::steady_timer acceptTimer_;
-    std::set<std::shared_ptr<CallerConnection>> callers_;
+    CallerConnections callers_;
+    CallerConnections controls_; ///< of the other listeners
     std::uint64_t configVersion_ = 0;
     std::string configContent_;
     CallerLimits limits_;
@@ -139,9 +142,6 @@
     Instant lastStateQuery_;
     Instant lastVersionComparison_;
     Instant lastWatcherSelection_;
-    std::uint64_t reportedRefusals_ = 0; ///< of bodies
-    Instant lastBodyRefusal_;
-    bool isBodyMemoryShort_ = false;
     Instant lastPoll_;
     bool hasListedEvacuations_ = false; ///< from the store, since the start
     bool publishedFollowing_ = false; ///< as last published to the peers
--- a/include/balsamreel/Relay/PeerConnection.h
+++ b/include/balsamreel/Relay/PeerConnection.h
@@ -36,7 +36,7 @@
     /// Sends an encoded message, so that a message to many peers is encoded once.
     void sendFrame(std::string_view frame);
 
-    /// Sends the body of a LongAttemptRequest in parts, between other messages and as the peer reads.
+    /// Sends the body of a LongAttemptRequest or a LongAttemptReply in parts, between other messages and as the peer reads.
     void sendBody(std::uint64_t serial, Body);
 
     /// Drops what has not been sent of a body.
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -17,11 +17,15 @@
 
 namespace balsamreel::Relay {
 
-constexpr std::uint8_t peerProtocolVersion = 5;
+constexpr std::uint8_t peerProtocolVersion = 6;
 /// Size of the length field that precedes each frame.
 constexpr std::size_t frameHeaderBytes = 4;
-/// Leaves room for the largest request body that a caller may send, and its headers.
-constexpr std::size_t maximumFrameBytes = 80U * 1024 * 1024;
+/// Leaves room for the largest configuration that the store holds, and for the headers of a request.
+constexpr std::size_t maximumFrameBytes = 2U * 1024 * 1024;
+/// Limit on a frame of a connection that has not sent its Hello.
+constexpr std::size_t maximumFirstFrameBytes = 16 * 1024;
+/// Limit on the bodies that are sent in parts.
+constexpr std::size_t maximumSplitBodyBytes = 80U * 1024 * 1024;
 
 /// How other nodes reach a node.
 struct NodeRecord {
@@ -166,7 +170,7 @@
     std::uint32_t bodyBytes = 0;
 };
 
-/// The next part of the body of a LongAttemptRequest.
+/// The next part of the body of a LongAttemptRequest or a LongAttemptReply.
 struct BodyPart {
     std::uint64_t serial = 0; ///< of the attempt
     std::string bytes;
@@ -179,6 +183,12 @@
     Wire::LoadStamp stamp;
 };
 
+/// A reply with a response whose body follows in parts.
+struct LongAttemptReply {
+    AttemptReply reply; ///< its response has no body
+    std::uint32_t bodyBytes = 0;
+};
+
 /// Cancels an attempt: the caller has left, or the response is no longer needed.
 struct Cancel {
     std::uint64_t serial = 0;
@@ -196,7 +206,7 @@
 
 struct Pong { };
 
-using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery, Quota::TokenRequest, Quota::TokenReply, EvacuationUpdate, LongAttemptRequest, BodyPart>;
+using PeerMessage = std::variant<Hello, StatusUpdate, StateQuery, PeerList, ConfigDocument, ContextDefinition, CompactAttemptRequest, AttemptReply, Cancel, OutcomeQuery, Ping, Pong, SlowdownUpdate, VersionUpdate, FollowingUpdate, ConfigQuery, Quota::TokenRequest, Quota::TokenReply, EvacuationUpdate, LongAttemptRequest, BodyPart, LongAttemptReply>;
 
 /// Returns a complete frame, including its length field.
 std::string encodeFrame(const PeerMessage&);
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Relay/AttemptCodec.h"
 #include "balsamreel/Relay/EventLog.h"
 #include "balsamreel/Relay/Guard.h"
+#include "balsamreel/Relay/NodeMemory.h"
 #include "balsamreel/Relay/PeerConnection.h"
 #include "balsamreel/Relay/PeerMessages.h"
 #include "balsamreel/Relay/WatcherSelection.h"
@@ -46,7 +47,7 @@
         std::function<void(const std::string& node, const Quota::TokenReply&)> onTokenReply;
         std::function<std::uint64_t()> storeEra; ///< the newest era of the store that this node has learned of
         std::function<void(std::uint64_t era)> onStoreEra; ///< the era that a peer has learned of
-        std::shared_ptr<BodyBudget> bodies; ///< limits the memory of all bodies together
+        std::shared_ptr<NodeMemory> memory;
     };
 
     Peers(Loop&, const NodeSettings&, std::uint64_t incarnation, Guard&, EventLog&, Host);
@@ -120,6 +121,12 @@
         Instant deadline;
         bool isOutcomeQueried = false; ///< the connection was lost; the outcome is queried on the next one
     };
+    /// A reply whose response has not arrived completely.
+    struct IncompleteReply {
+        AttemptReply reply;
+        BodyReceiver body;
+        std::size_t bodyBytes = 0; ///< of the complete body
+    };
     struct Peer {
         NodeRecord record;
         std::shared_ptr<PeerConnection> connection;
@@ -134,6 +141,7 @@
         Instant nextDial;
         Instant pingedAt;
         std::map<std::uint64_t, PendingAttempt> pending; ///< by serial
+        std::map<std::uint64_t, IncompleteReply> incompleteReplies; ///< by serial
     };
     using PeerPointer = std::shared_ptr<Peer>;
 
@@ -165,13 +173,18 @@
     void onAttemptRequest(const InboundPeerPointer&, CompactAttemptRequest&&);
     void onLongAttemptRequest(const InboundPeerPointer&, LongAttemptRequest&&);
     void onBodyPart(const InboundPeerPointer&, const BodyPart&);
-    void refuseBody(InboundPeer&, std::uint64_t serial) const;
+    void submit(const InboundPeerPointer&, AttemptRequest&&);
+    void refuseForMemory(InboundPeer&, std::uint64_t serial) const;
     void onOutcomeQuery(const InboundPeerPointer&, const OutcomeQuery&);
     void dial(const PeerPointer&);
     void onDialed(const PeerPointer&, const std::shared_ptr<Socket>&, bool isFailed);
     void onPeerMessage(const PeerPointer&, PeerMessage&&);
     void onHello(const PeerPointer&, const Hello&);
-    void onAttemptReply(const PeerPointer&, const AttemptReply&);
+    void onAttemptReply(const PeerPointer&, AttemptReply&&);
+    void onLongAttemptReply(const PeerPointer&, LongAttemptReply&&);
+    void onReplyPart(const PeerPointer&, const BodyPart&);
+    void completeAttempt(Peer&, std::uint64_t serial, const Outcome&, const Wire::LoadStamp&);
+    void dropReply(Peer&, std::uint64_t serial);
     void onLost(const PeerPointer&, const std::string& cause);
     void queryOutcomes(const Peer&) const;
     void checkLiveness(Instant now, const PeerPointer&);
--- a/include/balsamreel/Relay/RequestPipeline.h
+++ b/include/balsamreel/Relay/RequestPipeline.h
@@ -37,7 +37,7 @@
     struct Handlers {
         std::function<CallerLimits()> limits;
         std::function<bool(const IncomingRequest&)> canRunConcurrently; ///< with other requests of the same connection
-        std::shared_ptr<BodyBudget> bodies = nullptr; ///< null: only the size of each body is limited
+        std::shared_ptr<MemoryBudget> memory = nullptr; ///< of requests; null: only the size of each request is limited
         std::function<void()> onBodyRefused = nullptr; ///< there is output, as the body was dropped to make room for others
     };
     struct NumberedRequest {
@@ -58,9 +58,12 @@
     /// Sets the response to a request. With isClosing, the connection ends after the last request that has been read.
     void respond(RequestNumber, ServerResponse, bool isClosing);
 
-    /// Returns the bytes to write now and clears the output buffer.
+    /// Returns the bytes to write next, a limited number at a time; empty if there are none.
     std::string takeOutput();
 
+    /// Drops all responses, for a connection that is closed.
+    void dropOutput();
+
     /// Whether more input can be buffered.
     bool wantsInput() const;
 
@@ -84,7 +87,20 @@
         std::optional<ServerResponse> response;
     };
 
+    /// A serialized response that takeOutput() has not returned completely.
+    struct Output {
+        std::string head;
+        Body body;
+        std::size_t nextSegment = 0; ///< of the body
+        bool isHeadTaken = false;
+    };
+
     bool isBlocked() const;
+    void addOutput(std::string head, Body);
+    void takeFrom(Output&, std::string& text);
+    std::size_t inputLimit() const;
+    bool chargeInput();
+    void dropInput();
     void restartParser();
     void parse();
     bool parseSome();
@@ -101,7 +117,9 @@
     std::optional<IncomingRequest> pending_; ///< complete, but not returned by takeNext() yet
     bool isPendingLast_ = false; ///< the caller asks to close the connection after the pending request
     std::deque<OpenRequest> open_;
-    std::string output_;
+    std::deque<Output> output_;
+    std::size_t outputBytes_ = 0; ///< that takeOutput() has not returned
+    MemoryReservation inputMemory_; ///< of input_
     RequestNumber nextNumber_ = 1;
     bool hasSeenHeader_ = false;
     bool isContinueDue_ = false; ///< the caller waits for "100 Continue" before it sends the body
--- a/lib/Relay/Body.cpp
+++ b/lib/Relay/Body.cpp
@@ -7,15 +7,35 @@
 
 namespace {
 
-using Support::Duration;
 using Support::Instant;
 
 // Larger bodies can't use the reserve.
 constexpr std::size_t smallBodyBytes = 64 * 1024;
-// Share of the budget that is kept for small bodies.
-constexpr std::size_t reserveDivisor = 16;
-// A body that arrives without pause is not dropped for another one.
-constexpr Duration minimumStall = std::chrono::milliseconds(500);
+constexpr std::size_t trimDivisor = 4;
+
+std::string withCapacity(std::string_view text, std::size_t capacity)
+{
+    std::string copy;
+    copy.reserve(capacity);
+    copy.append(text);
+    return copy;
+}
+
+// Most bodies are short and arrive at once, so the first bytes get no room for more. After them a segment gets its full size in
+// one step: std::string would take more than a segment.
+void appendTo(std::string& segment, std::string_view bytes)
+{
+    if (segment.size() + bytes.size() > segment.capacity() && !segment.empty())
+        segment = withCapacity(segment, bodySegmentBytes);
+    segment.append(bytes);
+}
+
+// Frees the unused part of a segment if it is more than the budget could ignore.
+void trim(std::string& segment)
+{
+    if (segment.capacity() - segment.size() > segment.size() / trimDivisor)
+        segment = withCapacity(segment, segment.size());
+}
 
 } // namespace
 
@@ -28,10 +48,27 @@
     content_->segments.push_back(std::move(text));
 }
 
-Body::Content::~Content()
+Body::Body(const char* text)
+    : Body(std::string(text))
 {
+}
+
+void Body::Content::drop()
+{
+    segments.clear();
+    auto bytes = std::exchange(size, 0);
     if (budget)
-        budget->giveBack(size);
+        budget->giveBack(bytes);
+}
+
+std::optional<Body> Body::copyInto(const std::shared_ptr<MemoryBudget>& budget, Instant now) const
+{
+    BodyReceiver receiver(budget, nullptr);
+    for (const auto& segment : segments()) {
+        if (!receiver.append(segment, now))
+            return std::nullopt;
+    }
+    return receiver.finish();
 }
 
 const std::vector<std::string>& Body::segments() const
@@ -49,18 +86,12 @@
     return text;
 }
 
-BodyReceiver::BodyReceiver(std::shared_ptr<BodyBudget> budget, std::function<void()> onRefused)
+BodyReceiver::BodyReceiver(std::shared_ptr<MemoryBudget> budget, std::function<void()> onRefused)
     : budget_(std::move(budget))
     , onRefused_(std::move(onRefused))
 {
 }
 
-BodyReceiver::Incomplete::~Incomplete()
-{
-    if (content && content->budget)
-        content->budget->remove(*this);
-}
-
 // Requests without a body need no registration.
 BodyReceiver::Incomplete& BodyReceiver::incomplete(Instant now)
 {
@@ -70,9 +101,8 @@
     incomplete_->content = std::make_shared<Body::Content>();
     incomplete_->content->budget = budget_;
     incomplete_->onRefused = std::move(onRefused_);
-    incomplete_->progressAt = now;
-    if (budget_)
-        budget_->add(*incomplete_);
+    if (budget_ && incomplete_->onRefused)
+        incomplete_->holder.attach(budget_, now, [body = incomplete_.get()] { refuse(*body); });
     return *incomplete_;
 }
 
@@ -84,7 +114,8 @@
 bool BodyReceiver::append(std::string_view bytes, Instant now)
 {
     auto& body = incomplete(now);
-    if (budget_ && !budget_->tryTake(body, bytes.size(), now))
+    bool isSmall = body.content->size + bytes.size() <= smallBodyBytes;
+    if (budget_ && !budget_->tryTake(bytes.size(), isSmall, now, &body.holder))
         return false;
     auto& segments = body.content->segments;
     body.content->size += bytes.size();
@@ -97,11 +128,11 @@
         }
         auto& segment = segments.back();
         auto count = std::min(bytes.size(), bodySegmentBytes - segment.size());
-        segment.append(bytes.substr(0, count));
+        appendTo(segment, bytes.substr(0, count));
         bytes.remove_prefix(count);
     }
-    if (budget_)
-        budget_->onProgress(body, now);
+    body.holder.setSmall(isSmall);
+    body.holder.recordProgress(body.content->size, now);
     return true;
 }
 
@@ -110,80 +141,18 @@
     Body body;
     if (!incomplete_)
         return body;
-    if (budget_)
-        budget_->remove(*incomplete_);
     body.content_ = std::move(incomplete_->content);
+    if (!body.empty())
+        trim(body.content_->segments.back());
     incomplete_.reset();
     return body;
 }
 
-BodyBudget::BodyBudget(std::size_t limit)
-    : limit_(limit)
-    , smallBodyReserve_(limit / reserveDivisor)
-{
-}
-
-void BodyBudget::add(Incomplete& body)
-{
-    body.position = incomplete_.insert(incomplete_.end(), &body);
-}
-
-void BodyBudget::remove(const Incomplete& body)
-{
-    incomplete_.erase(body.position);
-}
-
-bool BodyBudget::tryTake(const Incomplete& requester, std::size_t bytes, Instant now)
-{
-    bool isSmall = requester.content->size + bytes <= smallBodyBytes;
-    auto limit = isSmall ? limit_ : limit_ - smallBodyReserve_;
-    while (heldBytes_ + bytes > limit) {
-        auto* stalled = findStalled(requester, isSmall, now);
-        if (!stalled) {
-            ++refusedCount_;
-            return false;
-        }
-        refuse(*stalled, now);
-    }
-    heldBytes_ += bytes;
-    return true;
-}
-
-// Bytes that trickle in are no progress until they fill a segment.
-void BodyBudget::onProgress(Incomplete& body, Instant now)
-{
-    if (body.content->size - body.progressBytes < bodySegmentBytes)
-        return;
-    body.progressBytes = body.content->size;
-    body.progressAt = now;
-    incomplete_.splice(incomplete_.end(), incomplete_, body.position);
-}
-
-// Small bodies are dropped for other small ones only, and after all larger ones.
-BodyBudget::Incomplete* BodyBudget::findStalled(const Incomplete& requester, bool includesSmall, Instant now) const
-{
-    Incomplete* small = nullptr;
-    for (auto* body : incomplete_) {
-        if (now - body->progressAt < minimumStall)
-            break;
-        if (body == &requester)
-            continue;
-        if (body->content->size > smallBodyBytes)
-            return body;
-        small = small ? small : body;
-    }
-    return includesSmall ? small : nullptr;
-}
-
 // The owner drops the body within the callback; its bytes must be free afterwards even if it does not.
-void BodyBudget::refuse(Incomplete& body, Instant now)
+void BodyReceiver::refuse(Incomplete& body)
 {
-    ++refusedCount_;
-    auto onRefused = std::move(body.onRefused);
-    body.content->segments.clear();
-    giveBack(std::exchange(body.content->size, 0));
-    body.progressAt = now;
-    incomplete_.splice(incomplete_.end(), incomplete_, body.position);
+    body.content->drop();
+    auto onRefused = std::exchange(body.onRefused, nullptr);
     if (onRefused)
         onRefused();
 }
--- a/lib/Relay/CallerConnection.cpp
+++ b/lib/Relay/CallerConnection.cpp
@@ -16,8 +16,9 @@
 CallerConnection::CallerConnection(Socket socket, Handlers handlers)
     : socket_(std::move(socket))
     , handlers_(std::move(handlers))
-    , pipeline_({handlers_.limits, handlers_.canRunConcurrently, handlers_.bodies, [this] { advance(); }})
+    , pipeline_({handlers_.limits, handlers_.canRunConcurrently, handlers_.requestMemory, [this] { advance(); }})
     , timer_(socket_.get_executor())
+    , outputMemory_(handlers_.responseMemory)
     , lastReadAt_(Support::monotonicNow())
 {
 }
@@ -115,13 +116,18 @@
     if (isWriting_ || isClosed_)
         return;
     output_ = pipeline_.takeOutput();
+    outputMemory_.resize(output_.size());
     if (output_.empty())
-        return;
+        return unread_.detach();
     isWriting_ = true;
+    lastWriteAt_ = Support::monotonicNow();
+    if (!unread_.isAttached()) {
+        writtenBytes_ = 0;
+        unread_.attach(handlers_.responseMemory, lastWriteAt_, [this] { close(); });
+    }
     auto self = shared_from_this();
-    // Every partial write restarts the timer, so a caller that reads nothing of its response for this long is disconnected.
     auto untilComplete = [self](const boost::system::error_code& error, std::size_t written) {
-        self->armTimer(self->handlers_.limits().idleTimeout);
+        self->onWriteProgress(written);
         return boost::asio::transfer_all()(error, written);
     };
     boost::asio::async_write(socket_, boost::asio::buffer(output_), untilComplete, [self](const boost::system::error_code& error, std::size_t) {
@@ -130,6 +136,7 @@
             return;
         if (error)
             return self->onRead(error, 0);
+        self->writtenBytes_ += self->output_.size();
         self->phase_ = ReadPhase::Idle;
         self->write();
         if (self->isWriting_)
@@ -140,6 +147,16 @@
     });
 }
 
+// Every partial write restarts the timer, so a caller that reads nothing of its response for this long is disconnected.
+void CallerConnection::onWriteProgress(std::size_t written)
+{
+    if (isClosed_)
+        return;
+    armTimer(handlers_.limits().idleTimeout);
+    lastWriteAt_ = Support::monotonicNow();
+    unread_.recordProgress(writtenBytes_ + written, lastWriteAt_);
+}
+
 // Closes the sending side and waits for the caller to read the response and close the connection.
 void CallerConnection::linger()
 {
@@ -157,7 +174,9 @@
 
 std::optional<Instant> CallerConnection::stalledSince() const
 {
-    bool isReceiving = !isClosed_ && !isWriting_ && !isLingering_ && !pipeline_.hasOpenRequests() && pipeline_.phase() != ReadPhase::Idle;
+    if (isWriting_ && !isClosed_)
+        return lastWriteAt_;
+    bool isReceiving = !isClosed_ && !isLingering_ && !pipeline_.hasOpenRequests() && pipeline_.phase() != ReadPhase::Idle;
     return isReceiving ? std::optional(lastReadAt_) : std::nullopt;
 }
 
@@ -169,8 +188,16 @@
     timer_.cancel();
     boost::system::error_code ignored; // the caller may have closed the connection already
     socket_.close(ignored);
+    pipeline_.dropOutput();
+    outputMemory_.resize(0);
+    unread_.detach();
     auto self = shared_from_this();
-    boost::asio::post(socket_.get_executor(), [self] { self->handlers_.onClosed(self); });
+    // Posted, as the budget may close the connection while the code that needs memory is at work.
+    boost::asio::post(socket_.get_executor(), [self] {
+        if (self->pipeline_.hasOpenRequests())
+            self->handlers_.onCallerLeft(self);
+        self->handlers_.onClosed(self);
+    });
 }
 
 } // namespace balsamreel::Relay
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -18,9 +18,6 @@
 // The server stops work at the deadline that it is given. If it has not responded this long after the deadline, it
 // never will.
 constexpr Duration responseGrace = std::chrono::milliseconds(500);
-// Incomplete responses may take the node's memory divided by this. A response needs memory again when it is passed on,
-// because it is copied.
-constexpr std::uint64_t responseMemoryDivisor = 8;
 constexpr Duration serverRetryDelay = std::chrono::milliseconds(150);
 constexpr std::uint32_t misdirectedRequest = 421;
 constexpr double microsPerSecond = 1e6;
@@ -63,7 +60,7 @@
 
 } // namespace
 
-Guard::Guard(Loop& loop, const NodeSettings& settings, HeaderNames names, ServerReportReaders readers, EventLog& log)
+Guard::Guard(Loop& loop, const NodeSettings& settings, HeaderNames names, ServerReportReaders readers, std::shared_ptr<MemoryBudget> responseMemory, EventLog& log)
     : loop_(loop)
     , settings_(settings)
     , names_(std::move(names))
@@ -75,7 +72,7 @@
     , startPolicy_(observationInterval(settings))
     , probeTimer_(loop)
     , discoveryTimer_(loop)
-    , responseMemory_(std::make_shared<ResponseMemoryBudget>(ResponseMemoryBudget{settings.maximumMemory / responseMemoryDivisor}))
+    , responseMemory_(std::move(responseMemory))
     , tickTimer_(loop)
 {
 }
@@ -328,6 +325,8 @@
         return NotRun{Reason::ServerUnreachable, serverRetryDelay, false};
     case HttpFailure::Malformed:
         return Unknown{Reason::BadResponse};
+    case HttpFailure::MemoryExhausted:
+        return Unknown{Reason::MemoryExhausted};
     case HttpFailure::ConnectionLost:
         break;
     }
--- a/lib/Relay/HttpClientConnection.cpp
+++ b/lib/Relay/HttpClientConnection.cpp
@@ -42,10 +42,10 @@
 
 } // namespace
 
-HttpClientConnection::HttpClientConnection(Loop& loop, Support::Endpoint server, std::shared_ptr<ResponseMemoryBudget> memoryBudget, std::uint64_t number)
+HttpClientConnection::HttpClientConnection(Loop& loop, Support::Endpoint server, std::shared_ptr<MemoryBudget> responseMemory, std::uint64_t number)
     : socket_(loop)
     , server_(std::move(server))
-    , memoryBudget_(std::move(memoryBudget))
+    , responseMemory_(std::move(responseMemory))
     , number_(number)
     , idleTimeout_(assumedIdleTimeout)
 {
@@ -115,6 +115,7 @@
             return;
         // The failure is left to the read handler, which detects it too and may still receive a response sent before it.
         self->isRequestWritten_ = !error;
+        std::string().swap(self->output_); // an idle connection does not keep the memory of a long header
         self->isWriting_ = false;
         if (error)
             self->isClosing_ = true;
@@ -151,6 +152,7 @@
     parser_->skip(isHead_);
     parser_->body_limit(maximumBodyBytes);
     parser_->header_limit(maximumHeaderBytes);
+    parser_->get().body() = BodyReceiver(responseMemory_, nullptr);
 }
 
 void HttpClientConnection::parse()
@@ -160,7 +162,10 @@
         auto consumed = parser_->put(input_.data(), error);
         input_.consume(consumed);
         bool needsMore = error == http::error::need_more;
-        if ((error && !needsMore) || !isWithinBounds(needsMore))
+        if (error == boost::system::errc::not_enough_memory)
+            return finish(HttpFailure::MemoryExhausted);
+        // A faulty server may send framing without end.
+        if ((error && !needsMore) || (needsMore && input_.size() > maximumFramingBytes))
             return finish(HttpFailure::Malformed);
         if (needsMore)
             break;
@@ -173,24 +178,6 @@
         read();
 }
 
-// Protects against a faulty server that sends bytes without end.
-bool HttpClientConnection::isWithinBounds(bool needsMore)
-{
-    if (needsMore && input_.size() > maximumFramingBytes)
-        return false;
-    return updateHeldBytes(input_.size() + parser_->get().body().size());
-}
-
-// Returns false if the incomplete responses on all connections together exceed the budget.
-bool HttpClientConnection::updateHeldBytes(std::size_t bytes)
-{
-    if (!memoryBudget_)
-        return true;
-    memoryBudget_->held = memoryBudget_->held - heldBytes_ + bytes;
-    heldBytes_ = bytes;
-    return memoryBudget_->held <= memoryBudget_->limit;
-}
-
 // The end of the stream completes a body without a length only if the connection was not reset. A failed write may have taken
 // the error of a reset from the socket, so that the read reports an orderly end; then the body may be incomplete.
 void HttpClientConnection::onEndOfStream()
@@ -255,7 +242,7 @@
     updateIdleTimeout(message.base());
     if (!message.keep_alive() || parser_->need_eof() || input_.size() > 0 || !isRequestWritten_)
         isClosing_ = true;
-    finish(HttpResponse{status, message.base(), std::move(message.body())});
+    finish(HttpResponse{status, message.base(), message.body().finish()});
     return true;
 }
 
@@ -278,7 +265,6 @@
 {
     auto done = std::move(done_);
     done_ = nullptr;
-    updateHeldBytes(0);
     idleSince_ = Support::monotonicNow();
     bool isFailed = std::holds_alternative<HttpFailure>(result);
     if (isFailed || isClosing_)
@@ -294,8 +280,8 @@
     if (isClosed_)
         return;
     isClosed_ = true;
-    updateHeldBytes(0);
     done_ = nullptr;
+    parser_.reset(); // gives back the memory of an incomplete response
     boost::system::error_code ignored; // the connection may have ended already
     socket_.close(ignored);
 }
--- a/lib/Relay/HttpText.cpp
+++ b/lib/Relay/HttpText.cpp
@@ -97,11 +97,11 @@
     return serializeRequestHead(request, addedHeaders) + request.body.text();
 }
 
-std::string serializeResponse(const ServerResponse& response, bool isClosing, bool isHeadResponse)
+std::string serializeResponseHead(const ServerResponse& response, bool isClosing, bool isHeadResponse)
 {
     auto reason = http::obsolete_reason(static_cast<http::status>(response.status));
     std::string text;
-    text.reserve(512 + response.body.size());
+    text.reserve(512);
     text.append(fmt::format("HTTP/1.1 {} ", response.status)).append(toStdView(reason)).append("\r\n");
     for (const auto& header : response.headers)
         append(text, header.name, header.value);
@@ -110,9 +110,13 @@
     if (statusHasBody(response.status) && !isHeadResponse)
         append(text, "Content-Length", std::to_string(response.body.size()));
     text.append("\r\n");
-    if (!isHeadResponse)
-        text.append(response.body);
     return text;
 }
 
+std::string serializeResponse(const ServerResponse& response, bool isClosing, bool isHeadResponse)
+{
+    auto head = serializeResponseHead(response, isClosing, isHeadResponse);
+    return isHeadResponse ? head : head + response.body.text();
+}
+
 } // namespace balsamreel::Relay
--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -47,13 +47,11 @@
 constexpr Duration minimumSuspension = std::chrono::milliseconds(50);
 // A failed accept is mostly due to a lack of descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
-// The remaining descriptors are for peers, the server, the store and the log.
+// Shares of the descriptors. The rest is for peers, the server, the store and the log.
 constexpr double callerDescriptorShare = 0.5;
-// Share of the memory that the bodies of requests may hold together. The rest is left to responses, connections and the node itself.
-constexpr std::uint64_t bodyMemorySixteenths = 7;
-// A request that is received without pause is not cut.
-constexpr Duration minimumCallerStall = std::chrono::milliseconds(500);
-constexpr Duration bodyShortageEnd = std::chrono::seconds(1);
+constexpr double controlDescriptorShare = 0.0625;
+// Announcements are much shorter.
+constexpr std::uint64_t maximumControlBodyBytes = 64 * 1024;
 constexpr std::string_view metricsPath = "/metrics";
 
 ServerResponse emptyResponse(std::uint32_t status)
@@ -72,8 +70,9 @@
     , settingsSource_(std::move(settingsSource))
     , incarnation_(Support::randomSeed() | 1U)
     , log_(loop, settings_.name, settings_.logDescriptor)
-    , bodies_(std::make_shared<BodyBudget>(settings_.maximumMemory / 16 * bodyMemorySixteenths))
-    , guard_(loop, settings_, codec_.headers, codec_.serverReports, log_)
+    , memory_(std::make_shared<NodeMemory>(settings_.maximumMemory))
+    , memoryReport_(*memory_)
+    , guard_(loop, settings_, codec_.headers, codec_.serverReports, memory_->responses, log_)
     , peers_(loop, settings_, incarnation_, guard_, log_, peersHost())
     , accountLimits_(loop, settings_, incarnation_, peers_, log_, metrics_)
     , entry_(loop, settings_, codec_.headers, incarnation_, guard_, peers_, accountLimits_, log_, metrics_)
@@ -97,6 +96,7 @@
     , shutdownTimer_(loop)
     , acceptTimer_(loop)
 {
+    setConnectionLimits();
     guard_.onStatusChange = [this] {
         peers_.publishStatus();
         entry_.serversChanged();
@@ -122,7 +122,7 @@
     host.isFollowingStore = [this] { return configFollower_.isConnected(); };
     host.evacuations = [this]() -> const EvacuationDocument& { return evacuations_.document(); };
     host.onEvacuations = [this](const EvacuationDocument& document) { applyEvacuations(document, "peer"); };
-    host.bodies = bodies_;
+    host.memory = memory_;
     host.onServersChanged = [this] { entry_.serversChanged(); };
     host.onSlowdownChange = [this](const std::string& node, const Support::Endpoint& server, bool isSlowed) { entry_.slowdownChanged({node, server}, isSlowed); };
     host.onTokenRequest = [this](const Quota::TokenRequest& request) { return accountLimits_.onRequest(request); };
@@ -136,13 +136,13 @@
 {
     log_.line(LogClass::Notable, "start", "service={} domain={} boot={} store={}", settings_.service, settings_.domain, incarnation_, settings_.store.text());
     listen(callerAcceptor_, settings_.callerAddress);
-    accept(callerAcceptor_, callerHandlers());
+    accept(callerAcceptor_, callers_, callerHandlers());
     listen(readinessAcceptor_, settings_.readinessAddress);
-    accept(readinessAcceptor_, controlHandlers());
+    accept(readinessAcceptor_, controls_, controlHandlers());
     listen(announcementAcceptor_, settings_.announcementAddress);
-    accept(announcementAcceptor_, controlHandlers());
+    accept(announcementAcceptor_, controls_, controlHandlers());
     listen(metricsAcceptor_, settings_.metricsAddress);
-    accept(metricsAcceptor_, controlHandlers());
+    accept(metricsAcceptor_, controls_, controlHandlers());
     peers_.listen();
     startedAt_ = Support::monotonicNow();
     directory_.start();
@@ -163,91 +163,79 @@
     acceptor.listen();
 }
 
-void Node::accept(boost::asio::ip::tcp::acceptor& acceptor, const CallerConnection::Handlers& handlers)
+void Node::accept(boost::asio::ip::tcp::acceptor& acceptor, CallerConnections& connections, const CallerConnection::Handlers& handlers)
 {
-    acceptor.async_accept([this, &acceptor, handlers](const boost::system::error_code& error, Socket socket) {
+    acceptor.async_accept([this, &acceptor, &connections, handlers](const boost::system::error_code& error, Socket socket) {
         if (error == boost::asio::error::operation_aborted)
             return;
         if (error) {
             log_.line(LogClass::Notable, "accept-failed", "address={} error=\"{}\"", settings_.callerAddress.text(), error.message());
             acceptTimer_.expires_after(acceptRetryDelay);
-            acceptTimer_.async_wait([this, &acceptor, handlers](const boost::system::error_code&) { accept(acceptor, handlers); });
+            acceptTimer_.async_wait([this, &acceptor, &connections, handlers](const boost::system::error_code&) { accept(acceptor, connections, handlers); });
             return;
         }
+        if (!makeRoom(connections))
+            return accept(acceptor, connections, handlers); // the new socket is closed unread
         boost::system::error_code ignored; // a failure only delays small responses
         socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        closeCallerIfFull();
         auto connection = std::make_shared<CallerConnection>(std::move(socket), handlers);
-        callers_.insert(connection);
+        connections.add(connection);
         connection->start();
-        accept(acceptor, handlers);
+        accept(acceptor, connections, handlers);
     });
 }
 
-// Closes an idle or stalled connection to make room for a new one, so that descriptors remain for peers, the server and the store.
-void Node::closeCallerIfFull()
+void Node::setConnectionLimits()
 {
-    auto maximumCallers = static_cast<std::size_t>(settings_.maximumDescriptors * callerDescriptorShare);
-    if (callers_.size() < maximumCallers)
-        return;
-    // Its onClosed handler removes it from callers_ later.
-    auto idle = std::ranges::find_if(callers_, [](const auto& caller) { return caller->isIdle(); });
-    if (idle != callers_.end()) {
-        metrics_.add("balsamreel_idle_callers_closed_total");
-        return (*idle)->close();
-    }
-    auto stalled = longestStalledCaller(Support::monotonicNow());
-    if (!stalled)
-        return;
-    metrics_.add("balsamreel_stalled_callers_closed_total");
-    stalled->close();
+    callers_.setLimit(static_cast<std::size_t>(settings_.maximumDescriptors * callerDescriptorShare));
+    controls_.setLimit(static_cast<std::size_t>(settings_.maximumDescriptors * controlDescriptorShare));
 }
 
-std::shared_ptr<CallerConnection> Node::longestStalledCaller(Instant now) const
+// Limits the connections, so that descriptors remain for peers, the server and the store.
+bool Node::makeRoom(CallerConnections& connections)
 {
-    std::shared_ptr<CallerConnection> longest;
-    auto since = now - minimumCallerStall;
-    for (const auto& caller : callers_) {
-        auto stalledSince = caller->stalledSince();
-        if (!stalledSince || *stalledSince >= since)
-            continue;
-        since = *stalledSince;
-        longest = caller;
+    switch (connections.makeRoom(Support::monotonicNow())) {
+    case RoomResult::Free:
+        break;
+    case RoomResult::ClosedIdle:
+        metrics_.add("balsamreel_idle_callers_closed_total");
+        break;
+    case RoomResult::ClosedStalled:
+        metrics_.add("balsamreel_stalled_callers_closed_total");
+        break;
+    case RoomResult::Full:
+        metrics_.add("balsamreel_callers_refused_total");
+        return false;
     }
-    return longest;
+    return true;
 }
 
-void Node::reportBodyMemory(Instant now)
+CallerConnection::Handlers Node::handlersFor(CallerConnections& connections)
 {
-    auto refusals = bodies_->refusedCount();
-    if (refusals != reportedRefusals_)
-        lastBodyRefusal_ = now;
-    bool isShort = refusals > 0 && now - lastBodyRefusal_ < bodyShortageEnd;
-    if (isShort != isBodyMemoryShort_)
-        log_.line(LogClass::Notable, isShort ? "body-memory-short" : "body-memory-free", "held={} limit={} refused={}", bodies_->heldBytes(), bodies_->limit(), refusals);
-    reportedRefusals_ = refusals;
-    isBodyMemoryShort_ = isShort;
+    CallerConnection::Handlers handlers;
+    handlers.onClosed = [&connections](const auto& caller) { connections.remove(caller); };
+    handlers.isShuttingDown = [this] { return isShuttingDown_; };
+    handlers.requestMemory = memory_->requests;
+    handlers.responseMemory = memory_->responses;
+    return handlers;
 }
 
 CallerConnection::Handlers Node::callerHandlers()
 {
-    CallerConnection::Handlers handlers;
+    auto handlers = handlersFor(callers_);
     handlers.onRequest = [this](const CallerRequest& caller, IncomingRequest&& incoming) {
         bool isTooLate = isShuttingDown_ && Support::monotonicNow() - shutdownSince_ > shutdownAcceptTime;
         entry_.handle(caller, std::move(incoming), isTooLate);
     };
     handlers.onCallerLeft = [this](const auto& caller) { entry_.callerLeft(caller); };
-    handlers.onClosed = [this](const auto& caller) { callers_.erase(caller); };
     handlers.canRunConcurrently = [this](const IncomingRequest& incoming) { return entry_.canRunConcurrently(incoming); };
     handlers.limits = [this] { return limits_; };
-    handlers.isShuttingDown = [this] { return isShuttingDown_; };
-    handlers.bodies = bodies_;
     return handlers;
 }
 
 CallerConnection::Handlers Node::controlHandlers()
 {
-    CallerConnection::Handlers handlers = callerHandlers();
+    auto handlers = handlersFor(controls_);
     handlers.onRequest = [this](const CallerRequest& caller, IncomingRequest&& incoming) { onControl(caller, std::move(incoming)); };
     handlers.onCallerLeft = [](const auto&) {};
     handlers.canRunConcurrently = [](const IncomingRequest&) { return false; };
@@ -462,7 +450,7 @@
     accountLimits_.tick(now, directory_.hasSeenOwnRecord() || peers_.hasReceivedList());
     followStore(now);
     queryPeers(now);
-    reportBodyMemory(now);
+    memoryReport_.tick(now, log_);
     tick_.expires_after(tickInterval);
     tick_.async_wait([this](const boost::system::error_code& cancelled) {
         if (!cancelled)
@@ -584,6 +572,7 @@
     settings_.followsEvacuations = settings.followsEvacuations;
     settings_.storeRecoveryTime = settings.storeRecoveryTime;
     settings_.maximumDescriptors = settings.maximumDescriptors;
+    setConnectionLimits();
     guard_.applySettings();
     accountLimits_.applySettings();
     entry_.applySettings();
@@ -600,9 +589,7 @@
     metrics_.set("balsamreel_evacuated_domains", static_cast<double>(evacuations_.document().domains.size()));
     metrics_.set("balsamreel_server_leaving", guard_.hasServerLeft() ? 1 : 0);
     metrics_.set("balsamreel_peers", static_cast<double>(peers_.knownCount()));
-    metrics_.set("balsamreel_body_bytes", static_cast<double>(bodies_->heldBytes()));
-    metrics_.set("balsamreel_body_bytes_limit", static_cast<double>(bodies_->limit()));
-    metrics_.set("balsamreel_bodies_refused", static_cast<double>(bodies_->refusedCount()));
+    memoryReport_.setMetrics(metrics_);
     metrics_.set("balsamreel_config_version", static_cast<double>(configVersion_));
     metrics_.set("balsamreel_store_era", static_cast<double>(storeCalls_.era()));
     metrics_.set("balsamreel_store_calls", static_cast<double>(storeCalls_.count()));
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -208,7 +208,10 @@
 {
     archive(response.status);
     headerList(archive, response.headers);
-    longText(archive, response.body);
+    auto body = response.body.text();
+    longText(archive, body);
+    if constexpr (Archive::is_loading::value)
+        response.body = Body(std::move(body));
 }
 
 template <typename Archive>
@@ -247,6 +250,12 @@
     archive(reply.serial, reply.outcome, reply.stamp);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LongAttemptReply& message)
+{
+    archive(message.reply, message.bodyBytes);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, Cancel& cancel)
 {
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -184,8 +184,12 @@
 {
     if (const auto* hello = std::get_if<Hello>(&message))
         return onHello(peer, *hello);
-    if (const auto* reply = std::get_if<AttemptReply>(&message))
-        return onAttemptReply(peer, *reply);
+    if (auto* reply = std::get_if<AttemptReply>(&message))
+        return onAttemptReply(peer, std::move(*reply));
+    if (auto* longReply = std::get_if<LongAttemptReply>(&message))
+        return onLongAttemptReply(peer, std::move(*longReply));
+    if (const auto* part = std::get_if<BodyPart>(&message))
+        return onReplyPart(peer, *part);
     if (const auto* update = std::get_if<StatusUpdate>(&message)) {
         peer->status = update->status;
         log_.line(LogClass::Notable, "peer-status", "peer={} service={} instance={}", peer->record.name, update->status.service, update->status.instance);
@@ -240,13 +244,65 @@
     host_.onServersChanged();
 }
 
-void Peers::onAttemptReply(const PeerPointer& peer, const AttemptReply& reply)
+// The response counts in the budget from here on, or is dropped if there is no room for it.
+void Peers::onAttemptReply(const PeerPointer& peer, AttemptReply&& reply)
 {
-    if (peer->connection)
-        peer->connection->cancelBody(reply.serial);
-    auto attempt = peer->pending.extract(reply.serial);
+    if (auto* response = std::get_if<ServerResponse>(&reply.outcome)) {
+        auto body = response->body.copyInto(host_.memory->responses, Support::monotonicNow());
+        if (!body)
+            return completeAttempt(*peer, reply.serial, Unknown{Reason::MemoryExhausted}, reply.stamp);
+        response->body = std::move(*body);
+    }
+    completeAttempt(*peer, reply.serial, reply.outcome, reply.stamp);
+}
+
+// The parts of a response that nobody waits for any more are ignored.
+void Peers::onLongAttemptReply(const PeerPointer& peer, LongAttemptReply&& message)
+{
+    if (!peer->connection)
+        return;
+    bool isValid = std::holds_alternative<ServerResponse>(message.reply.outcome) && message.bodyBytes > maximumInlineBodyBytes && message.bodyBytes <= maximumSplitBodyBytes;
+    if (!isValid)
+        return peer->connection->fail("invalid reply with a long body");
+    auto serial = message.reply.serial;
+    peer->connection->cancelBody(serial);
+    if (peer->pending.contains(serial))
+        peer->incompleteReplies[serial] = {std::move(message.reply), BodyReceiver(host_.memory->responses, nullptr), message.bodyBytes};
+}
+
+void Peers::onReplyPart(const PeerPointer& peer, const BodyPart& part)
+{
+    auto found = peer->incompleteReplies.find(part.serial);
+    if (found == peer->incompleteReplies.end())
+        return;
+    auto& incomplete = found->second;
+    if (incomplete.body.size() + part.bytes.size() > incomplete.bodyBytes)
+        return peer->connection->fail("response body is longer than announced");
+    if (!incomplete.body.append(part.bytes, Support::monotonicNow()))
+        return dropReply(*peer, part.serial);
+    if (incomplete.body.size() < incomplete.bodyBytes)
+        return;
+    auto reply = std::move(incomplete.reply);
+    std::get<ServerResponse>(reply.outcome).body = incomplete.body.finish();
+    peer->incompleteReplies.erase(found);
+    completeAttempt(*peer, reply.serial, reply.outcome, reply.stamp);
+}
+
+void Peers::dropReply(Peer& peer, std::uint64_t serial)
+{
+    auto stamp = peer.incompleteReplies.at(serial).reply.stamp;
+    peer.incompleteReplies.erase(serial);
+    peer.connection->send(Cancel{serial});
+    completeAttempt(peer, serial, Unknown{Reason::MemoryExhausted}, stamp);
+}
+
+void Peers::completeAttempt(Peer& peer, std::uint64_t serial, const Outcome& outcome, const Wire::LoadStamp& stamp)
+{
+    if (peer.connection)
+        peer.connection->cancelBody(serial);
+    auto attempt = peer.pending.extract(serial);
     if (!attempt.empty())
-        attempt.mapped().done(reply.outcome, reply.stamp);
+        attempt.mapped().done(outcome, stamp);
 }
 
 // Idempotent attempts complete as Unknown, so that they can be retried elsewhere. The outcome of the others is queried on the
@@ -257,6 +313,7 @@
         return;
     log_.line(LogClass::Notable, "peer-lost", "peer={} cause=\"{}\" offers={}", peer->record.name, cause, peer->pending.size());
     peer->connection.reset();
+    peer->incompleteReplies.clear();
     // Something accepts connections at the address, but not the peer: it counts as a failed dial.
     if (!peer->isHandshakeDone)
         ++peer->failures;
@@ -355,6 +412,7 @@
     if (found == peers_.end())
         return;
     auto& peer = *found->second;
+    peer.incompleteReplies.erase(serial);
     if (peer.pending.erase(serial) == 0 || !peer.connection)
         return;
     peer.connection->cancelBody(serial);
--- a/lib/Relay/PeersInbound.cpp
+++ b/lib/Relay/PeersInbound.cpp
@@ -4,13 +4,53 @@
 #include "balsamreel/Relay/RemainingTime.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamreel::Relay {
 
 namespace {
 
-// For a body that the node had no memory for.
-constexpr Duration bodyRetryDelay = std::chrono::seconds(1);
+// For a request that the node had no memory for.
+constexpr Duration memoryRetryDelay = std::chrono::seconds(1);
+// Limit on connections whose other end has not said which node it is, so that they can't use up the descriptors.
+constexpr std::size_t silentInboundDivisor = 8; // of all descriptors
+
+// Sends a long body in parts, so that it is not copied as a whole.
+void sendReply(PeerConnection& connection, AttemptReply reply)
+{
+    auto* response = std::get_if<ServerResponse>(&reply.outcome);
+    if (!response || response->body.size() <= maximumInlineBodyBytes)
+        return connection.send(std::move(reply));
+    auto serial = reply.serial;
+    auto body = std::exchange(response->body, Body());
+    connection.send(LongAttemptReply{std::move(reply), static_cast<std::uint32_t>(body.size())});
+    connection.sendBody(serial, std::move(body));
+}
+
+// The headers of an attempt are held by the request and by the head that is sent to the server.
+constexpr std::size_t headerCopies = 2;
+
+std::size_t headerBytes(const Request& request)
+{
+    auto bytes = request.callerAttemptId.size() + request.target.size();
+    for (const auto& header : request.headers)
+        bytes += sizeof(Header) + header.name.size() + header.value.size();
+    return headerCopies * bytes;
+}
+
+// Makes the request count in the budget. Returns false if there is no room.
+bool chargeRequest(Request& request, const std::shared_ptr<MemoryBudget>& budget)
+{
+    auto now = Support::monotonicNow();
+    auto memory = std::make_shared<MemoryReservation>(budget);
+    if (!memory->tryResize(headerBytes(request), now))
+        return false;
+    request.headerMemory = std::move(memory);
+    auto body = request.body.copyInto(budget, now);
+    if (body)
+        request.body = std::move(*body);
+    return body.has_value();
+}
 
 } // namespace
 
@@ -66,6 +106,7 @@
     else if (const auto* part = std::get_if<BodyPart>(&message))
         onBodyPart(inbound, *part);
     else if (const auto* cancel = std::get_if<Cancel>(&message)) {
+        connection->cancelBody(cancel->serial);
         inbound->incompleteAttempts.erase(cancel->serial);
         inbound->openAttempts.erase(cancel->serial);
         guard_.cancel({inbound->incarnation, cancel->serial});
@@ -120,7 +161,7 @@
     inbound->openAttempts.insert(serial);
     return [inbound, serial](const Outcome& outcome, const Wire::LoadStamp& stamp) {
         inbound->openAttempts.erase(serial);
-        inbound->connection->send(AttemptReply{serial, outcome, stamp});
+        sendReply(*inbound->connection, {serial, outcome, stamp});
     };
 }
 
@@ -130,14 +171,22 @@
     if (!request)
         return inbound->connection->fail("attempt request refers to an undefined context slot");
     inbound->lastAttemptAt = Support::monotonicNow();
-    guard_.submit({inbound->incarnation, request->serial}, *request, replyCallback(inbound, request->serial));
+    if (!chargeRequest(request->request, host_.memory->requests))
+        return refuseForMemory(*inbound, request->serial);
+    submit(inbound, std::move(*request));
+}
+
+void Peers::submit(const InboundPeerPointer& inbound, AttemptRequest&& request)
+{
+    auto serial = request.serial;
+    guard_.submit({inbound->incarnation, serial}, request, replyCallback(inbound, serial));
 }
 
 // The guard learns of the attempt only with its whole body, so an attempt whose connection is lost before has not run.
 void Peers::onLongAttemptRequest(const InboundPeerPointer& inbound, LongAttemptRequest&& message)
 {
     auto request = inbound->decoder.decode(std::move(message.request));
-    if (!request || message.bodyBytes <= maximumInlineBodyBytes || message.bodyBytes > maximumFrameBytes)
+    if (!request || message.bodyBytes <= maximumInlineBodyBytes || message.bodyBytes > maximumSplitBodyBytes)
         return inbound->connection->fail("invalid request with a long body");
     auto now = Support::monotonicNow();
     auto serial = request->serial;
@@ -145,10 +194,12 @@
     std::weak_ptr<InboundPeer> weak = inbound;
     auto onRefused = [this, weak, serial] {
         if (auto strong = weak.lock())
-            refuseBody(*strong, serial);
+            refuseForMemory(*strong, serial);
     };
+    if (!chargeRequest(request->request, host_.memory->requests))
+        return refuseForMemory(*inbound, serial);
     auto deadline = now + Duration(request->timeoutMicros);
-    inbound->incompleteAttempts[serial] = {std::move(*request), BodyReceiver(host_.bodies, std::move(onRefused)), message.bodyBytes, deadline};
+    inbound->incompleteAttempts[serial] = {std::move(*request), BodyReceiver(host_.memory->requests, std::move(onRefused)), message.bodyBytes, deadline};
 }
 
 // Parts of an attempt that was refused or cancelled may still arrive.
@@ -162,7 +213,7 @@
     if (attempt.body.size() + part.bytes.size() > attempt.bodyBytes)
         return inbound->connection->fail("body is longer than announced");
     if (!attempt.body.append(part.bytes, now))
-        return refuseBody(*inbound, part.serial);
+        return refuseForMemory(*inbound, part.serial);
     if (attempt.body.size() < attempt.bodyBytes)
         return;
     auto request = std::move(attempt.request);
@@ -172,13 +223,13 @@
     request.timeoutMicros = std::max(1U, remaining);
     request.latencyTargetMicros -= std::min(request.latencyTargetMicros, delay);
     inbound->incompleteAttempts.erase(found);
-    guard_.submit({inbound->incarnation, part.serial}, request, replyCallback(inbound, part.serial));
+    submit(inbound, std::move(request));
 }
 
-void Peers::refuseBody(InboundPeer& inbound, std::uint64_t serial) const
+void Peers::refuseForMemory(InboundPeer& inbound, std::uint64_t serial) const
 {
     inbound.incompleteAttempts.erase(serial);
-    inbound.connection->send(AttemptReply{serial, NotRun{Reason::MemoryExhausted, bodyRetryDelay, false}, guard_.loadStamp()});
+    inbound.connection->send(AttemptReply{serial, NotRun{Reason::MemoryExhausted, memoryRetryDelay, false}, guard_.loadStamp()});
 }
 
 // The loss of the old connection may be detected only after this query. The attempt is removed from the old connection, so
--- a/lib/Relay/RequestPipeline.cpp
+++ b/lib/Relay/RequestPipeline.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace balsamreel::Relay {
 
@@ -16,9 +17,16 @@
 // Per connection, so that one connection can't use up the node's memory or all slots of a service.
 constexpr std::size_t maximumOpenRequests = 16;
 // Limits on the responses that a caller may leave unread and on the input that it may send ahead, before the node stops reading
-// from it. The latter is no part of the budget for bodies.
+// from it.
 constexpr std::size_t maximumUnreadBytes = 64 * 1024;
 constexpr std::size_t maximumWaitingInput = 16 * 1024;
+// An empty input buffer above this size is freed.
+constexpr std::size_t maximumIdleInputBytes = 8 * 1024;
+// Output is returned in pieces of about this size.
+constexpr std::size_t outputPieceBytes = 64 * 1024;
+// The headers of a request are held by the call, by its attempt, and by the head that is sent to the server.
+constexpr std::size_t headerCopies = 3;
+constexpr std::size_t fieldOverheadBytes = 64;
 // Limit on a chunk header line of a chunked body, and on the trailer fields.
 constexpr std::size_t maximumFramingBytes = 16 * 1024;
 constexpr std::uint32_t badRequest = 400;
@@ -43,6 +51,7 @@
 
 RequestPipeline::RequestPipeline(Handlers handlers)
     : handlers_(std::move(handlers))
+    , inputMemory_(handlers_.memory)
 {
     restartParser();
 }
@@ -54,8 +63,8 @@
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser_->body_limit(limits.bodyBytes);
-    if (handlers_.bodies)
-        parser_->get().body() = BodyReceiver(handlers_.bodies, [this] { onBodyRefused(); });
+    if (handlers_.memory)
+        parser_->get().body() = BodyReceiver(handlers_.memory, [this] { onBodyRefused(); });
     hasSeenHeader_ = false;
 }
 
@@ -71,7 +80,7 @@
 // Unread responses count too, so that a caller that does not read them can't cause further work.
 bool RequestPipeline::isBlocked() const
 {
-    return isReadingDone_ || pending_ || open_.size() >= maximumOpenRequests || output_.size() > maximumUnreadBytes;
+    return isReadingDone_ || pending_ || open_.size() >= maximumOpenRequests || outputBytes_ > maximumUnreadBytes;
 }
 
 bool RequestPipeline::wantsInput() const
@@ -229,7 +238,8 @@
         auto open = std::move(open_.front());
         open_.pop_front();
         bool isLast = open.isLast || (isClosing_ && open_.empty() && !pending_);
-        output_ += serializeResponse(*open.response, isLast, open.isHead);
+        auto head = serializeResponseHead(*open.response, isLast, open.isHead);
+        addOutput(std::move(head), open.isHead ? Body() : std::move(open.response->body));
         if (!isLast)
             continue;
         hasEnded_ = true;
@@ -239,15 +249,44 @@
     }
     if (open_.empty() && isContinueDue_) {
         isContinueDue_ = false;
-        output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        addOutput("HTTP/1.1 100 Continue\r\n\r\n", {});
     }
 }
 
+void RequestPipeline::addOutput(std::string head, Body body)
+{
+    outputBytes_ += head.size() + body.size();
+    output_.push_back({std::move(head), std::move(body)});
+}
+
+void RequestPipeline::dropOutput()
+{
+    output_.clear();
+    outputBytes_ = 0;
+    for (auto& open : open_)
+        open.response.reset();
+}
+
 std::string RequestPipeline::takeOutput()
 {
-    std::string output;
-    output.swap(output_);
-    return output;
+    std::string text;
+    while (!output_.empty() && text.size() < outputPieceBytes) {
+        auto& first = output_.front();
+        takeFrom(first, text);
+        if (first.nextSegment == first.body.segments().size())
+            output_.pop_front();
+    }
+    outputBytes_ -= text.size();
+    return text;
+}
+
+void RequestPipeline::takeFrom(Output& output, std::string& text)
+{
+    if (!std::exchange(output.isHeadTaken, true))
+        text += output.head;
+    const auto& segments = output.body.segments();
+    while (output.nextSegment < segments.size() && text.size() < outputPieceBytes)
+        text += segments[output.nextSegment++];
 }
 
 } // namespace balsamreel::Relay
--- a/lib/Relay/StoreCalls.cpp
+++ b/lib/Relay/StoreCalls.cpp
@@ -70,7 +70,7 @@
             idle_.push_back(connection);
         StoreReply reply;
         if (auto* response = std::get_if<HttpResponse>(&result))
-            reply = {response->status, std::move(response->body), eraOf(response->fields)};
+            reply = {response->status, response->body.text(), eraOf(response->fields)};
         auto callback = std::move(*sharedDone);
         *sharedDone = nullptr;
         recordEra(reply.era.value_or(0));
--- a/unittests/Relay/BodyTest.cpp
+++ b/unittests/Relay/BodyTest.cpp
@@ -12,20 +12,20 @@
 constexpr std::size_t largeBytes = 200 * 1024;
 constexpr std::size_t smallBytes = 1024;
 
-class BodyBudgetTest : public testing::Test {
+class BodyTest : public testing::Test {
 protected:
     BodyReceiver receiver(unsigned& refusals)
     {
         return {budget_, [&refusals] { ++refusals; }};
     }
 
-    std::shared_ptr<BodyBudget> budget_ = std::make_shared<BodyBudget>(limit);
+    std::shared_ptr<MemoryBudget> budget_ = std::make_shared<MemoryBudget>(limit);
     Support::Instant start_{1h};
 };
 
 } // namespace
 
-TEST_F(BodyBudgetTest, CopiesShareTheBytesAndTheLastOneGivesThemBack)
+TEST_F(BodyTest, CopiesShareTheBytesAndTheLastOneGivesThemBack)
 {
     BodyReceiver receiver(budget_, nullptr);
     std::string text(3 * bodySegmentBytes + 7, 'x');
@@ -41,7 +41,7 @@
     EXPECT_EQ(budget_->heldBytes(), 0U);
 }
 
-TEST_F(BodyBudgetTest, DropsTheBodyThatHasStalledLongest)
+TEST_F(BodyTest, DropsTheBodyThatHasStalledLongest)
 {
     std::vector<unsigned> refusals(5);
     std::vector<BodyReceiver> bodies;
@@ -56,7 +56,7 @@
     EXPECT_EQ(refusals, (std::vector<unsigned>{0, 1, 0, 0, 0}));
 }
 
-TEST_F(BodyBudgetTest, KeepsAReserveForSmallBodies)
+TEST_F(BodyTest, KeepsAReserveForSmallBodies)
 {
     unsigned refusals = 0;
     auto large = receiver(refusals);
@@ -67,7 +67,7 @@
     EXPECT_EQ(refusals, 0U);
 }
 
-TEST_F(BodyBudgetTest, TricklingBytesAreNoProgressAndSmallBodiesAreNoVictims)
+TEST_F(BodyTest, TricklingBytesAreNoProgressAndSmallBodiesAreNoVictims)
 {
     unsigned largeRefusals = 0;
     unsigned smallRefusals = 0;
