Count headers, and what callers send ahead, in the budget for requests

Callers saw: 100 callers that sent requests with headers of 60 KB ahead took a node of 32 MB to 38 MB more than at rest. Cause: up to 16 requests a connection are open, each with its headers in several copies, and nobody counted them, nor the input that waits. Each link kept 64 sets of headers of any size in both directions. Change: a request takes memory for its headers until its last copy is gone; input that waits is counted; a long header's buffer grows once and is freed.

--- a/lib/Relay/RequestPipeline.cpp
+++ b/lib/Relay/RequestPipeline.cpp
@@ -47,6 +47,14 @@
     return badRequest;
 }
 
+std::size_t headerBytes(const http::fields& fields, std::size_t targetBytes)
+{
+    auto bytes = targetBytes;
+    for (const auto& field : fields)
+        bytes += fieldOverheadBytes + field.name_string().size() + field.value().size();
+    return headerCopies * bytes;
+}
+
 } // namespace
 
 RequestPipeline::RequestPipeline(Handlers handlers)
@@ -72,9 +80,39 @@
 {
     if (hasEnded_)
         return;
+    // Grows in one step; the blocks of several steps would stay behind in the allocator.
+    if (input_.size() + bytes.size() > std::max(input_.capacity(), maximumIdleInputBytes))
+        input_.reserve(inputLimit() + bytes.size());
     auto buffer = input_.prepare(bytes.size());
     input_.commit(boost::asio::buffer_copy(buffer, boost::asio::buffer(bytes.data(), bytes.size())));
     parse();
+    if (chargeInput())
+        return;
+    dropInput();
+    if (!isReadingDone_)
+        reject(serviceUnavailable);
+}
+
+void RequestPipeline::dropInput()
+{
+    input_ = {};
+    inputMemory_.resize(0);
+}
+
+// How much input can become before more is refused, or is no longer read.
+std::size_t RequestPipeline::inputLimit() const
+{
+    if (isBlocked())
+        return maximumWaitingInput;
+    return hasSeenHeader_ ? maximumFramingBytes : handlers_.limits().headerBytes;
+}
+
+// Input that has been parsed takes no memory. The rest waits for more of a header, or for responses to earlier requests.
+bool RequestPipeline::chargeInput()
+{
+    if (input_.size() == 0 && input_.capacity() > maximumIdleInputBytes)
+        input_.shrink_to_fit();
+    return inputMemory_.tryResize(input_.size() > 0 ? input_.capacity() : 0, Support::monotonicNow());
 }
 
 // Unread responses count too, so that a caller that does not read them can't cause further work.
@@ -124,7 +162,7 @@
         }
         onHeaderComplete();
     }
-    if (needsMore && input_.size() > (hasSeenHeader_ ? maximumFramingBytes : handlers_.limits().headerBytes)) {
+    if (needsMore && input_.size() > inputLimit()) {
         reject(hasSeenHeader_ ? badRequest : headersTooLarge);
         return true;
     }
@@ -164,13 +202,18 @@
 void RequestPipeline::onRequestComplete()
 {
     assert(!pending_ && "a request is already pending");
+    auto body = parser_->get().body().finish(); // from here on it is not dropped to make room for the headers
+    auto memory = std::make_shared<MemoryReservation>(handlers_.memory);
+    if (!memory->tryResize(headerBytes(parser_->get(), parser_->get().target().size()), Support::monotonicNow()))
+        return reject(serviceUnavailable);
     auto message = parser_->release();
     isPendingLast_ = !message.keep_alive();
     pending_.emplace();
     pending_->request.method = std::string(message.method_string());
     pending_->request.target = std::string(message.target());
     pending_->request.host = std::string(message[http::field::host]);
-    pending_->request.body = message.body().finish();
+    pending_->request.body = std::move(body);
+    pending_->request.headerMemory = std::move(memory);
     pending_->fields = std::move(message.base());
     isContinueDue_ = false;
     restartParser();
@@ -244,7 +287,7 @@
             continue;
         hasEnded_ = true;
         isReadingDone_ = true;
-        input_ = {};
+        dropInput();
         return;
     }
     if (open_.empty() && isContinueDue_) {
--- a/unittests/Relay/AttemptCodecTest.cpp
+++ b/unittests/Relay/AttemptCodecTest.cpp
@@ -66,4 +66,24 @@
     EXPECT_FALSE(decoder.define({static_cast<std::uint8_t>(contextSlotCount), {}}));
 }
 
+// Callers choose the headers, so long ones must not stay in the slots of all connections.
+TEST(AttemptCodec, DropsALongContextAfterItsRequest)
+{
+    AttemptEncoder encoder;
+    AttemptDecoder decoder;
+    auto request = lookup(1, "route");
+    request.request.headers.push_back({"X-Long", std::string(maximumKeptContextBytes, 'x')});
+    for (int round = 0; round < 2; ++round) {
+        auto encoded = encoder.encode(request);
+        ASSERT_TRUE(encoded.definition);
+        EXPECT_EQ(encoded.request.contextSlot, oneTimeSlot);
+        ASSERT_TRUE(decoder.define(std::move(*encoded.definition)));
+        auto again = encoded.request;
+        auto decoded = decoder.decode(std::move(encoded.request));
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded->request.headers, request.request.headers);
+        EXPECT_FALSE(decoder.decode(std::move(again)));
+    }
+}
+
 } // namespace balsamreel::Relay
--- a/unittests/Relay/RequestPipelineTest.cpp
+++ b/unittests/Relay/RequestPipelineTest.cpp
@@ -270,4 +270,43 @@
     }
 }
 
+TEST(RequestPipeline, ReturnsALongResponseInPieces)
+{
+    auto requests = pipeline();
+    requests.receive(get("/view/1"));
+    auto next = requests.takeNext();
+    ASSERT_TRUE(next);
+    BodyReceiver receiver;
+    receiver.append(std::string(1024 * 1024, 'x'), Support::monotonicNow());
+    auto body = receiver.finish();
+    requests.respond(next->number, {200, {}, body}, false);
+    std::string written;
+    for (auto piece = requests.takeOutput(); !piece.empty(); piece = requests.takeOutput()) {
+        EXPECT_LT(piece.size(), 128U * 1024);
+        written += piece;
+    }
+    EXPECT_EQ(written, serializeResponse({200, {}, body}, false, false));
+}
+
+// The budget has room for the headers of a few requests. The others are refused, and their memory is given back.
+TEST(RequestPipeline, RefusesRequestsWhoseHeadersHaveNoMemory)
+{
+    auto memory = std::make_shared<MemoryBudget>(16 * 1024);
+    std::vector<std::unique_ptr<RequestPipeline>> connections;
+    std::vector<RequestPipeline::NumberedRequest> taken;
+    for (int index = 0; index < 20; ++index) {
+        connections.push_back(std::make_unique<RequestPipeline>(RequestPipeline::Handlers{limits, isView, memory}));
+        connections.back()->receive(get("/view/1", fmt::format("X-Long: {}\r\n", std::string(800, 'x'))));
+        if (auto next = connections.back()->takeNext())
+            taken.push_back(std::move(*next));
+        EXPECT_LE(memory->heldBytes(), memory->limit());
+    }
+    EXPECT_GT(taken.size(), 0U);
+    EXPECT_LT(taken.size(), 10U);
+    EXPECT_TRUE(connections.back()->takeOutput().starts_with("HTTP/1.1 503"));
+    connections.clear();
+    taken.clear();
+    EXPECT_EQ(memory->heldBytes(), 0U);
+}
+
 } // namespace balsamreel::Relay
