Guard: bound the idle connections to the server

Callers saw: 100 callers that used one id for all requests took a node to 1605 descriptors, and a guard behind a link to 2464. Cause: a connection that has carried an id can't carry it again, as the responses could not be told apart; so each such request opened a connection, and the old ones stayed until the server's idle timeout. Change: when a connection is opened, idle ones beyond 64 (1/16 of the descriptors if that is less) are closed, the oldest first.

--- a/include/balsamreel/Relay/Guard.h
+++ b/include/balsamreel/Relay/Guard.h
@@ -148,6 +148,7 @@
     Outcome outcomeOf(const Attempt&, HttpResponse&&);
     std::vector<Header> addedHeaders(const Attempt&, Instant now) const;
     std::shared_ptr<HttpClientConnection> takeConnection(const AttemptRequest&, Instant now);
+    std::shared_ptr<HttpClientConnection> openConnection();
     void onServerChange(const ServerStatus& before);
     void setPersistedState(PersistedServerState);
     void learnUsableSlots(const Attempt&, Instant now);
--- a/lib/Relay/Guard.cpp
+++ b/lib/Relay/Guard.cpp
@@ -20,6 +20,9 @@
 constexpr Duration responseGrace = std::chrono::milliseconds(500);
 constexpr Duration serverRetryDelay = std::chrono::milliseconds(150);
 constexpr std::uint32_t misdirectedRequest = 421;
+// Limits on the idle connections to the server that are kept when another one is opened.
+constexpr std::size_t maximumIdleConnections = 64;
+constexpr std::size_t idleConnectionDivisor = 16; // of all descriptors
 constexpr double microsPerSecond = 1e6;
 constexpr unsigned leastUrgentPriority = std::numeric_limits<unsigned>::max();
 
@@ -205,12 +208,23 @@
         return isFreshEnough && connection->canMatch(request.request.callerAttemptId);
     });
     if (found == idleConnections_.rend())
-        return std::make_shared<HttpClientConnection>(loop_, settings_.server, responseMemory_, ++connectionCount_);
+        return openConnection();
     auto connection = std::move(*found);
     idleConnections_.erase(std::next(found).base());
     return connection;
 }
 
+// Callers that use the same id again and again fill all connections with it, so that none can be reused.
+std::shared_ptr<HttpClientConnection> Guard::openConnection()
+{
+    auto maximumIdle = std::clamp<std::size_t>(settings_.maximumDescriptors / idleConnectionDivisor, 1, maximumIdleConnections);
+    while (idleConnections_.size() > maximumIdle) {
+        idleConnections_.front()->close();
+        idleConnections_.erase(idleConnections_.begin());
+    }
+    return std::make_shared<HttpClientConnection>(loop_, settings_.server, responseMemory_, ++connectionCount_);
+}
+
 std::vector<Header> Guard::addedHeaders(const Attempt& attempt, Instant now) const
 {
     constexpr Duration::rep microsPerMilli = 1000;
