Node: limit bodies at its own addresses to 64 KiB

Callers saw: three announcements of 12 MB took a node of 32 MB to 153 MB more than at rest. Cause: the limit for callers' bodies, 64 MiB by default, held at the other addresses too, and a JSON document takes many times its text. Change: bodies above 64 KiB are refused there. An announcement has a few hundred bytes.

--- a/lib/Relay/Node.cpp
+++ b/lib/Relay/Node.cpp
@@ -239,7 +239,11 @@
     handlers.onRequest = [this](const CallerRequest& caller, IncomingRequest&& incoming) { onControl(caller, std::move(incoming)); };
     handlers.onCallerLeft = [](const auto&) {};
     handlers.canRunConcurrently = [](const IncomingRequest&) { return false; };
-    handlers.limits = [] { return CallerLimits(); };
+    handlers.limits = [] {
+        CallerLimits limits;
+        limits.bodyBytes = maximumControlBodyBytes;
+        return limits;
+    };
     return handlers;
 }
 
