Peers: bound connections without a handshake, and send queues

Callers saw: 500 connections to the address for nodes took 520 descriptors of 400; 20 that announced frames of 72 MB and sent 8 MB of them took a node of 32 MB to 172 MB more than at rest. Cause: nobody counted these connections, and a frame could have 80 MiB before anything was known of its sender. Each link could queue 16 MiB, and nothing bounded the sum. Change: connections without a handshake are closed beyond 1/8 of the descriptors, the oldest first; frames have 16 KiB at most before the handshake. What waits on all links together takes 1/16 of the memory at most. Empty buffers above 64 KiB are freed. The sum of send queues has no crowd of its own.

--- a/include/balsamreel/Relay/PeerConnection.h
+++ b/include/balsamreel/Relay/PeerConnection.h
@@ -28,7 +28,8 @@
         std::function<void(const std::string& cause)> onClosed; ///< called at most once, never from within close()
     };
 
-    explicit PeerConnection(Socket);
+    /// Without a budget, only the memory of each connection's send queue is limited.
+    explicit PeerConnection(Socket, std::shared_ptr<MemoryBudget> sendQueueMemory = nullptr);
 
     void start(Handlers);
     void send(const PeerMessage& message) { sendFrame(encodeFrame(message)); }
@@ -50,6 +51,9 @@
 
     bool isOpen() const { return isOpen_; }
 
+    /// Sets the limit on received frames; initially maximumFrameBytes.
+    void setFrameLimit(std::size_t bytes) { frameLimit_ = bytes; }
+
     /// When the last byte was received; initially the time of construction.
     Instant lastReceivedAt() const { return lastReceivedAt_; }
 
@@ -70,7 +74,9 @@
     boost::beast::flat_buffer input_;
     std::string pending_; ///< frames to write once writing_ is sent
     std::string writing_;
+    MemoryReservation queueMemory_; ///< of pending_ and writing_
     std::deque<OutgoingBody> bodies_;
+    std::size_t frameLimit_ = maximumFrameBytes;
     bool isOpen_ = true;
     Instant lastReceivedAt_;
 };
--- a/include/balsamreel/Relay/PeerMessages.h
+++ b/include/balsamreel/Relay/PeerMessages.h
@@ -214,7 +214,7 @@
 /// Decodes a frame without its length field; nullopt if it is malformed.
 std::optional<PeerMessage> decodeFrame(std::string_view content);
 
-/// Decodes the length field, which is the number of bytes that follow it; nullopt if it exceeds maximumFrameBytes.
-std::optional<std::size_t> frameLength(std::string_view header);
+/// Decodes the length field, which is the number of bytes that follow it; nullopt if it exceeds the limit.
+std::optional<std::size_t> frameLength(std::string_view header, std::size_t limit = maximumFrameBytes);
 
 } // namespace balsamreel::Relay
--- a/include/balsamreel/Relay/Peers.h
+++ b/include/balsamreel/Relay/Peers.h
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -156,7 +157,7 @@
     /// A connection that another node has opened, and the attempts received on it.
     struct InboundPeer {
         std::shared_ptr<PeerConnection> connection;
-        std::string name;
+        std::string name; ///< empty until the Hello has arrived
         std::uint64_t incarnation = 0;
         AttemptDecoder decoder;
         std::set<std::uint64_t> openAttempts;
@@ -167,6 +168,7 @@
 
     void accept();
     void startInbound(Socket);
+    void closeSilentInbound();
     void onInboundMessage(const InboundPeerPointer&, PeerMessage&&);
     void onInboundLost(const InboundPeerPointer&);
     Guard::Done replyCallback(const InboundPeerPointer&, std::uint64_t serial);
@@ -216,6 +218,7 @@
     boost::asio::steady_timer acceptTimer_;
     std::map<std::string, PeerPointer> peers_;
     std::set<InboundPeerPointer> inboundPeers_;
+    std::deque<std::weak_ptr<InboundPeer>> silentInbound_; ///< connections that had no Hello when they were opened, oldest first
     std::vector<std::weak_ptr<InboundPeer>> sameDomainPeers_; ///< those in this node's failure domain
     Support::Random random_;
     ConfigDocument sharedConfig_; ///< cached compressed form, as last sent to a peer
--- a/lib/Relay/PeerConnection.cpp
+++ b/lib/Relay/PeerConnection.cpp
@@ -16,6 +16,8 @@
 // TCP_NOTSENT_LOWAT of a connection that carries long bodies: what the system holds ahead of other messages.
 constexpr int maximumUnsentBytes = 64 * 1024;
 constexpr std::size_t readBytes = 16 * 1024;
+// Empty buffers above this size are freed.
+constexpr std::size_t maximumIdleBufferBytes = 64 * 1024;
 // TCP_USER_TIMEOUT: a connection is dead if sent data stays unacknowledged for this long.
 constexpr int userTimeoutMillis = 1500;
 constexpr int keepAliveIdleSeconds = 2;
@@ -35,8 +37,9 @@
     socket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>(keepAliveProbes), ignored);
 }
 
-PeerConnection::PeerConnection(Socket socket)
+PeerConnection::PeerConnection(Socket socket, std::shared_ptr<MemoryBudget> sendQueueMemory)
     : socket_(std::move(socket))
+    , queueMemory_(std::move(sendQueueMemory))
     , lastReceivedAt_(Support::monotonicNow())
 {
 }
@@ -67,7 +70,7 @@
 {
     while (input_.size() >= frameHeaderBytes) {
         std::string_view bytes(static_cast<const char*>(input_.data().data()), input_.size());
-        auto length = frameLength(bytes);
+        auto length = frameLength(bytes, frameLimit_);
         if (!length) {
             fail("frame exceeds the size limit");
             return false;
@@ -84,6 +87,8 @@
         if (!isOpen_)
             return false;
     }
+    if (input_.size() == 0 && input_.capacity() > maximumIdleBufferBytes)
+        input_.shrink_to_fit();
     return true;
 }
 
@@ -92,7 +97,8 @@
     if (!isOpen_)
         return;
     pending_ += frame;
-    if (pending_.size() > maximumPendingBytes)
+    bool hasMemory = queueMemory_.tryResize(pending_.size() + writing_.size(), Support::monotonicNow());
+    if (!hasMemory || pending_.size() > maximumPendingBytes)
         return fail("send queue full: the peer does not read");
     if (writing_.empty())
         write();
@@ -131,6 +137,7 @@
 {
     queueBodyParts();
     writing_.swap(pending_);
+    queueMemory_.resize(writing_.size());
     auto self = shared_from_this();
     boost::asio::async_write(socket_, boost::asio::buffer(writing_), [self](const boost::system::error_code& error, std::size_t) {
         if (!self->isOpen_)
@@ -138,6 +145,9 @@
         if (error)
             return self->fail(error.message());
         self->writing_.clear();
+        if (self->writing_.capacity() > maximumIdleBufferBytes)
+            self->writing_.shrink_to_fit();
+        self->queueMemory_.resize(self->pending_.size());
         if (!self->pending_.empty() || !self->bodies_.empty())
             self->write();
     });
@@ -163,6 +173,7 @@
         return;
     isOpen_ = false;
     bodies_.clear();
+    queueMemory_.resize(0);
     boost::system::error_code ignored; // the connection may be closed already
     socket_.close(ignored);
     auto self = shared_from_this();
--- a/lib/Relay/PeerMessages.cpp
+++ b/lib/Relay/PeerMessages.cpp
@@ -291,12 +291,12 @@
     return frame;
 }
 
-std::optional<std::size_t> frameLength(std::string_view header)
+std::optional<std::size_t> frameLength(std::string_view header, std::size_t limit)
 {
     std::size_t length = 0;
     for (std::size_t index = 0; index < frameHeaderBytes; ++index)
         length |= static_cast<std::size_t>(static_cast<unsigned char>(header[index])) << (8 * index);
-    if (length > maximumFrameBytes)
+    if (length > limit)
         return std::nullopt;
     return length;
 }
--- a/lib/Relay/Peers.cpp
+++ b/lib/Relay/Peers.cpp
@@ -152,7 +152,7 @@
         return;
     }
     tuneSocket(*socket);
-    peer->connection = std::make_shared<PeerConnection>(std::move(*socket));
+    peer->connection = std::make_shared<PeerConnection>(std::move(*socket), host_.memory->sendQueues);
     peer->encoder = {};
     peer->isHandshakeDone = false;
     PeerConnection::Handlers handlers;
--- a/lib/Relay/PeersInbound.cpp
+++ b/lib/Relay/PeersInbound.cpp
@@ -58,8 +58,11 @@
 {
     tuneSocket(socket);
     auto inbound = std::make_shared<InboundPeer>();
-    inbound->connection = std::make_shared<PeerConnection>(std::move(socket));
+    inbound->connection = std::make_shared<PeerConnection>(std::move(socket), host_.memory->sendQueues);
+    inbound->connection->setFrameLimit(maximumFirstFrameBytes);
     inboundPeers_.insert(inbound);
+    silentInbound_.push_back(inbound);
+    closeSilentInbound();
     // The inbound peer owns the connection, so the connection's handlers must not own the inbound peer.
     std::weak_ptr<InboundPeer> weak = inbound;
     PeerConnection::Handlers handlers;
@@ -74,6 +77,19 @@
     inbound->connection->start(std::move(handlers));
 }
 
+// Closes the oldest connections without a Hello if there are too many.
+void Peers::closeSilentInbound()
+{
+    std::erase_if(silentInbound_, [](const auto& weak) {
+        auto inbound = weak.lock();
+        return !inbound || !inbound->name.empty();
+    });
+    while (silentInbound_.size() > std::max<std::size_t>(1, settings_.maximumDescriptors / silentInboundDivisor)) {
+        silentInbound_.front().lock()->connection->fail("no handshake");
+        silentInbound_.pop_front();
+    }
+}
+
 // When a connection is lost, the sender abandons its idempotent attempts and queries the outcome of the others. So running
 // idempotent attempts are stopped and queued ones are revoked: they would take a slot for a caller that has left or is
 // served elsewhere.
@@ -133,6 +149,7 @@
         log_.line(LogClass::Notable, "peer-version", "peer={} version={}", hello.sender.name, hello.protocol);
         return inbound->connection->close();
     }
+    inbound->connection->setFrameLimit(maximumFrameBytes);
     inbound->incarnation = hello.incarnation;
     inbound->name = hello.sender.name;
     if (hello.sender.domain == self_.domain)
