--- a/include/balsamreel/Relay/CallerConnections.h
+++ b/include/balsamreel/Relay/CallerConnections.h
@@ -4,6 +4,7 @@
 #include "balsamreel/Relay/CallerConnection.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <set>
 
--- a/include/balsamreel/Relay/NodeMemory.h
+++ b/include/balsamreel/Relay/NodeMemory.h
@@ -22,13 +22,14 @@
     std::shared_ptr<MemoryBudget> sendQueues; ///< messages that other nodes have not read yet, without long bodies
 
 private:
+    static constexpr std::uint64_t sixteenths = 16;
     static constexpr std::uint64_t requestSixteenths = 7;
     static constexpr std::uint64_t responseSixteenths = 3;
     static constexpr std::uint64_t sendQueueSixteenths = 1;
 
-    static std::shared_ptr<MemoryBudget> budget(std::uint64_t bytes, std::uint64_t sixteenths)
+    static std::shared_ptr<MemoryBudget> budget(std::uint64_t bytes, std::uint64_t share)
     {
-        return std::make_shared<MemoryBudget>(bytes / 16 * sixteenths);
+        return std::make_shared<MemoryBudget>(bytes / sixteenths * share);
     }
 };
 
