Tests: callers of a crowd connect when their turn comes

Cause: all callers connected at the start, so a node rightly closed those that were idle for 15 s, and the crowd waited for responses on closed connections: a trial with 1,000 callers never came to its end. Change: each caller connects when its turn comes, and a closed connection counts as an end. Crowds and bounds stay.

--- a/unittests/crowd/HostileCallers.h
+++ b/unittests/crowd/HostileCallers.h
@@ -59,8 +59,10 @@
     /// Whether bytes of a response have arrived, or the connection has ended.
     bool isAnswered()
     {
+        char byte = 0;
         boost::system::error_code error;
-        return isEnded_ || socket_.available(error) > 0 || error;
+        socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+        return error != boost::asio::error::would_block;
     }
 
     /// Sends what the socket takes of the next piece.
@@ -114,17 +116,20 @@
     }
 }
 
-/// Lets one caller after the other send its bytes and wait for its response.
-inline void playInTurn(HostileCallers& callers, std::chrono::seconds patience = std::chrono::seconds(2))
+/// Lets one caller after the other connect, send its bytes and wait for its response.
+inline HostileCallers playInTurn(boost::asio::io_context& loop, const Support::Endpoint& address, const Crowd& crowd, std::size_t count, std::chrono::seconds patience = std::chrono::seconds(1))
 {
-    for (const auto& caller : callers) {
+    HostileCallers callers;
+    for (std::size_t index = 0; index < count; ++index) {
+        auto& caller = *callers.emplace_back(std::make_unique<HostileCaller>(loop, address, crowd));
         auto end = std::chrono::steady_clock::now() + patience;
-        while (!(caller->isDone() && caller->isAnswered()) && std::chrono::steady_clock::now() < end) {
-            if (!caller->isDone())
-                caller->send();
+        while (!(caller.isDone() && caller.isAnswered()) && std::chrono::steady_clock::now() < end) {
+            if (!caller.isDone())
+                caller.send();
             std::this_thread::sleep_for(std::chrono::milliseconds(1));
         }
     }
+    return callers;
 }
 
 /// Bytes that have arrived at an address and were not read yet.
